--- /dev/null
+++ b/Makefile
@@ -0,0 +1,14 @@
+GO ?= go
+
+.PHONY: build test lint demo bench fuzz matrix experiment
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+test:
+	$(GO) test ./...
+
+lint:
+	@files=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$files" ]; then echo "gofmt: $$files"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
