--- a/internal/message/outgoing.go
+++ b/internal/message/outgoing.go
@@ -19,7 +19,7 @@
 	// SetMaxAge replaces the Max-Age option by MaxAge, in seconds.
 	SetMaxAge bool
 	MaxAge    uint32
-	// DeadlineMS sets the Deadline option (number 65001, elective,
+	// DeadlineMS sets the Deadline option (number 65000, elective,
 	// experimental range of RFC 7252 section 12.2), the time left in
 	// milliseconds, unless 0.
 	DeadlineMS uint32
--- /dev/null
+++ b/internal/standin/backend/backend.go
@@ -0,0 +1,136 @@
+// Package backend is the stand-in for backend servers: CoAP servers with few
+// slots, a short queue, feeds and block-wise answers, whose health reports can
+// lag or lie. All servers of one process share a ledger that counts every
+// execution by request id.
+package backend
+
+import (
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	coapnet "github.com/plgd-dev/go-coap/v3/net"
+	"github.com/plgd-dev/go-coap/v3/options"
+	"github.com/plgd-dev/go-coap/v3/pkg/runner/periodic"
+	"github.com/plgd-dev/go-coap/v3/udp"
+	"github.com/plgd-dev/go-coap/v3/udp/client"
+	"github.com/rotisserie/eris"
+
+	"arbutusdock.example/arbutusdock/internal/config"
+)
+
+const (
+	// ackTimeout and maxRetransmit are the CoAP transmission parameters of the
+	// servers; loopback needs no 2 s.
+	ackTimeout    = 500 * time.Millisecond
+	maxRetransmit = 4
+	// retransmitTick is the interval at which go-coap looks for messages to
+	// retransmit. Its default of 4 s is longer than ackTimeout.
+	retransmitTick = 50 * time.Millisecond
+	// maxConnections is the limit of open feeds of one backend server.
+	maxConnections = 2000
+	// sampleTick is the interval of the samples from which lagging health
+	// reports are taken.
+	sampleTick = 100 * time.Millisecond
+	samples    = 600
+)
+
+// Options configure a Group.
+type Options struct {
+	Services     []config.Service
+	DataCentre   string                   // only targets of this data centre; empty for all
+	Run          map[string]time.Duration // run time of a short request by service; default 20 ms
+	LongFactor   int                      // run time of a long request over that of a short one
+	Queue        int                      // requests that wait for a slot
+	FeedInterval time.Duration            // between two readings of a feed
+	DrainGrace   time.Duration            // from the start of a drain until open feeds are cut
+	ColdFor      time.Duration            // cold period after a cold start
+	Logger       *slog.Logger
+}
+
+// Group is a set of backend servers in one process.
+type Group struct {
+	opt     Options
+	epoch   time.Time
+	ledger  ledger
+	servers []*Server
+	done    chan struct{}
+	wait    sync.WaitGroup
+	stop    sync.Once
+}
+
+// Start opens a server for every target of the services.
+func Start(opt Options) (*Group, error) {
+	if opt.Logger == nil {
+		opt.Logger = slog.Default()
+	}
+	g := &Group{opt: opt, epoch: time.Now(), done: make(chan struct{}), ledger: newLedger()}
+	tick := periodic.New(g.done, retransmitTick)
+	for _, svc := range opt.Services {
+		for _, t := range svc.Targets {
+			if opt.DataCentre != "" && string(t.DataCentre) != opt.DataCentre {
+				continue
+			}
+			s := newServer(g, string(svc.Name), t)
+			l, err := coapnet.NewListenUDP("udp4", t.Address.String())
+			if err != nil {
+				g.Close()
+				return nil, eris.Wrapf(err, "listen for target %s of service %s", t.Name, svc.Name)
+			}
+			s.coap = udp.NewServer(
+				options.WithHandlerFunc(s.handle),
+				options.WithRequestMonitor(s.monitor),
+				options.WithProcessReceivedMessageFunc(inGoroutine),
+				options.WithBlockwise(false, 0, time.Second),
+				options.WithTransmission(1, ackTimeout, maxRetransmit),
+				options.WithPeriodicRunner(tick),
+				options.WithInactivityMonitor(time.Hour, func(*client.Conn) {}),
+				options.WithErrors(func(err error) { opt.Logger.Debug("coap", "target", t.Name, "error", err) }),
+			)
+			g.servers = append(g.servers, s)
+			g.wait.Go(func() {
+				if err := s.coap.Serve(l); err != nil {
+					opt.Logger.Error("serve", "target", t.Name, "error", err)
+				}
+				_ = l.Close()
+			})
+		}
+	}
+	g.wait.Go(g.sample)
+	return g, nil
+}
+
+// Close stops all servers.
+func (g *Group) Close() {
+	g.stop.Do(func() { close(g.done) })
+	for _, s := range g.servers {
+		s.coap.Stop()
+	}
+	g.wait.Wait()
+}
+
+// Handler returns the HTTP interface: GET /health/<service>/<target>, PUT
+// /control and GET /counts.
+func (g *Group) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health/{service}/{target}", g.health)
+	mux.HandleFunc("PUT /control", g.control)
+	mux.HandleFunc("GET /counts", g.counts)
+	return mux
+}
+
+func (g *Group) sample() {
+	t := time.NewTicker(sampleTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-g.done:
+			return
+		case now := <-t.C:
+			for _, s := range g.servers {
+				s.sample(now)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/caller/caller.go
@@ -0,0 +1,227 @@
+// Package caller is the stand-in for the callers of both users: an unmodified
+// go-coap client that runs their mixes of requests and feeds, verifies every
+// answer and counts what did not arrive.
+package caller
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net/netip"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/pkg/runner/periodic"
+
+	"arbutusdock.example/arbutusdock/internal/standin/wire"
+)
+
+// Classes of requests and feeds.
+const (
+	Watch            = "watch"
+	WatchFeed        = "watch feed"
+	Claim            = "claim"
+	Slip             = "slip"
+	AlarmFeed        = "alarm feed"
+	CheckIn          = "check-in"
+	Certificate      = "certificate"
+	LargeCertificate = "large certificate"
+	Outcome          = "outcome query"
+)
+
+// largeShare is the share of certificates that take long to produce.
+const largeShare = 0.02
+
+// Source is a stream of operations of one class.
+type Source struct {
+	Class   string
+	Service string
+	Rate    float64 // operations a second over all callers
+}
+
+// FeedSource is a number of open feeds of one class.
+type FeedSource struct {
+	Class   string
+	Service string
+	Path    string // the number of the feed is appended
+	Count   int
+}
+
+// Options configure a Caller.
+type Options struct {
+	User     string
+	Public   map[string]netip.Addr // public IP by data centre
+	Ports    map[string]uint16     // UDP port by service
+	Sources  []Source
+	Feeds    []FeedSource
+	Hosts    []string   // Uri-Host of the partners
+	Local    netip.Addr // first of the callers' own IPs
+	Callers  int        // callers by service and data centre
+	Duration time.Duration
+	Deadline time.Duration // for an answer, before retransmission is taken into account
+	Refresh  time.Duration // of the registration of a feed
+	Silence  time.Duration // time without a reading after which a feed is silent
+	Burst    float64       // factor of the demand in a burst: 2 s in every 10 s; 0 or 1: steady
+	Zipf     float64       // exponent (above 1) of the demand over resources; 0: uniform
+	Seed     int64
+}
+
+// Mix returns the sources of a user at a total of rate requests a second and
+// with the given number of feeds.
+func Mix(user string, rate float64, feeds int) ([]Source, []FeedSource, error) {
+	switch user {
+	case "board":
+		return []Source{
+			{Class: Watch, Service: "counter", Rate: 0.6 * rate},
+			{Class: Claim, Service: "counter", Rate: 0.25 * rate},
+			{Class: Slip, Service: "slip", Rate: 0.15 * rate},
+		}, []FeedSource{{Class: WatchFeed, Service: "counter", Path: "/depots/", Count: feeds}}, nil
+	case "kelani":
+		return []Source{
+			{Class: CheckIn, Service: "alarm", Rate: 0.6 * rate},
+			{Class: Certificate, Service: "certificate", Rate: 0.4 * rate},
+		}, []FeedSource{{Class: AlarmFeed, Service: "alarm", Path: "/sites/", Count: feeds}}, nil
+	}
+	return nil, nil, fmt.Errorf("unknown user %q: want board or kelani", user)
+}
+
+// Caller runs the mix of one user.
+type Caller struct {
+	opt    Options
+	stats  *stats
+	conns  map[string][]*conn // by service
+	number uint64
+}
+
+// New opens the connections of all callers.
+func New(ctx context.Context, opt Options) (*Caller, error) {
+	c := &Caller{opt: opt, stats: newStats(opt.User), conns: map[string][]*conn{}}
+	d := &dialer{tick: periodic.New(ctx.Done(), retransmitTick)}
+	services := map[string]bool{}
+	for _, s := range opt.Sources {
+		services[s.Service] = true
+	}
+	for s := range services {
+		if err := c.open(d, s, opt.Callers, s); err != nil {
+			return nil, err
+		}
+	}
+	for _, s := range opt.Feeds {
+		// Feeds have connections of their own: go-coap skips half of its message
+		// ids whenever a confirmable notification comes close to them.
+		if err := c.open(d, s.Service, (s.Count+1)/2, "feed "+s.Service); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (c *Caller) open(d *dialer, service string, count int, key string) error {
+	var dcs []string
+	for dc := range c.opt.Public {
+		dcs = append(dcs, dc)
+	}
+	sort.Strings(dcs)
+	local := c.opt.Local
+	for _, dc := range dcs {
+		for i := range count {
+			to := netip.AddrPortFrom(c.opt.Public[dc], c.opt.Ports[service])
+			cc, err := d.dial(local, to, true)
+			if err != nil {
+				return err
+			}
+			plain, err := d.dial(local, to, false)
+			if err != nil {
+				return err
+			}
+			n := &conn{name: fmt.Sprintf("%s-%s-%d", c.opt.User, dc, len(c.conns[key])), cc: cc, plain: plain}
+			if key != service {
+				n.name += "f"
+			}
+			if len(c.opt.Hosts) > 0 {
+				n.host = c.opt.Hosts[i%len(c.opt.Hosts)]
+			}
+			c.conns[key] = append(c.conns[key], n)
+			local = local.Next()
+			if b := local.As4(); b[3] > 240 {
+				local = c.opt.Local
+			}
+		}
+	}
+	return nil
+}
+
+// Run runs the mix for the duration, waits for the answers of all requests and
+// returns the counts.
+func (c *Caller) Run(ctx context.Context) wire.CallerResult {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var requests, feeds sync.WaitGroup
+	for i, s := range c.opt.Feeds {
+		conns := c.conns["feed "+s.Service]
+		for n := range s.Count {
+			f := &feed{
+				c: c, conn: conns[n%len(conns)], class: s.Class, service: s.Service,
+				path: fmt.Sprintf("%s%d", s.Path, n), number: uint64(1+i)<<32 + uint64(n),
+			}
+			c.stats.class(s.Class, func(k *wire.Class) { k.Started++ })
+			feeds.Go(func() { f.run(ctx) })
+		}
+	}
+	for i, s := range c.opt.Sources {
+		requests.Go(func() { c.generate(ctx, s, int64(i), &requests) })
+	}
+	requests.Wait()
+	cancel()
+	feeds.Wait()
+	for _, conns := range c.conns {
+		for _, n := range conns {
+			n.close()
+		}
+	}
+	return c.stats.summary()
+}
+
+// generate starts the operations of one source as a Poisson process.
+func (c *Caller) generate(ctx context.Context, s Source, index int64, all *sync.WaitGroup) {
+	rng := rand.New(rand.NewSource(c.opt.Seed + index))
+	choose := func(n uint64) uint64 { return uint64(rng.Int63n(int64(n))) }
+	if c.opt.Zipf > 1 {
+		zipf := rand.NewZipf(rng, c.opt.Zipf, 1, 1<<20)
+		choose = func(n uint64) uint64 { return zipf.Uint64() % n }
+	}
+	conns := slices.Clone(c.conns[s.Service])
+	began := time.Now()
+	next := began
+	for number := uint64(index+1) << 40; ; number++ {
+		rate := s.Rate
+		if c.opt.Burst > 1 && int(time.Since(began)/time.Second)%10 >= 8 {
+			rate *= c.opt.Burst
+		}
+		next = next.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
+		if next.Sub(began) > c.opt.Duration || !sleep(ctx, time.Until(next)) {
+			return
+		}
+		op := operation{class: s.Class, service: s.Service}
+		switch s.Class {
+		case Watch:
+			op.path = fmt.Sprintf("/depots/%d", choose(200))
+		case Claim:
+			op.path, op.post = fmt.Sprintf("/lots/%d", choose(500)), true
+		case Slip:
+			op.path = fmt.Sprintf("/slips/%d", choose(1000))
+		case CheckIn:
+			op.path, op.post = fmt.Sprintf("/passes/%d", choose(500)), true
+		case Certificate:
+			op.path = fmt.Sprintf("/certificates/%d", choose(200))
+			if rng.Float64() < largeShare {
+				op.class, op.large = LargeCertificate, true
+				op.path = fmt.Sprintf("/certificates/large%d", choose(4))
+			}
+		}
+		n, conn := number, conns[rng.Intn(len(conns))]
+		all.Go(func() { c.perform(ctx, conn, op, n) })
+	}
+}
--- /dev/null
+++ b/internal/standin/caller/caller_test.go
@@ -0,0 +1,204 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+	"github.com/plgd-dev/go-coap/v3/message/pool"
+	coapnet "github.com/plgd-dev/go-coap/v3/net"
+	"github.com/plgd-dev/go-coap/v3/net/responsewriter"
+	"github.com/plgd-dev/go-coap/v3/options"
+	"github.com/plgd-dev/go-coap/v3/udp"
+	"github.com/plgd-dev/go-coap/v3/udp/client"
+	"gotest.tools/v3/assert"
+
+	"arbutusdock.example/arbutusdock/internal/config"
+	"arbutusdock.example/arbutusdock/internal/ids"
+	"arbutusdock.example/arbutusdock/internal/standin/backend"
+	"arbutusdock.example/arbutusdock/internal/standin/fabric"
+	"arbutusdock.example/arbutusdock/internal/standin/platform"
+	"arbutusdock.example/arbutusdock/internal/standin/report"
+	"arbutusdock.example/arbutusdock/internal/standin/wire"
+)
+
+var ports = map[string]uint16{"counter": 5801, "slip": 5802, "alarm": 5803, "certificate": 5804}
+
+// startBackends runs one backend server of each service at ip.
+func startBackends(t *testing.T, ip string) *backend.Group {
+	t.Helper()
+	opt := backend.Options{
+		Run: map[string]time.Duration{}, LongFactor: 100, Queue: 50, FeedInterval: 100 * time.Millisecond,
+		DrainGrace: time.Second, ColdFor: time.Second,
+	}
+	for name, port := range ports {
+		opt.Run[name] = 2 * time.Millisecond
+		opt.Services = append(opt.Services, config.Service{Name: ids.Service(name), Targets: []config.Target{{
+			Name: "t", Address: netip.AddrPortFrom(netip.MustParseAddr(ip), port), Slots: 2,
+		}}})
+	}
+	g, err := backend.Start(opt)
+	assert.NilError(t, err)
+	t.Cleanup(g.Close)
+	return g
+}
+
+// runMix runs the mix of a user against the public address ip.
+func runMix(t *testing.T, user, ip string, change func(*Options)) wire.CallerResult {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	sources, feeds, err := Mix(user, 300, 6)
+	assert.NilError(t, err)
+	opt := Options{
+		User: user, Public: map[string]netip.Addr{"dc1": netip.MustParseAddr(ip)}, Ports: ports, Sources: sources, Feeds: feeds,
+		Local: netip.MustParseAddr("127.82.3.1"), Callers: 3, Duration: 1500 * time.Millisecond, Deadline: time.Second,
+		Refresh: 400 * time.Millisecond, Silence: time.Second, Zipf: 1.2, Seed: 7,
+	}
+	if change != nil {
+		change(&opt)
+	}
+	c, err := New(ctx, opt)
+	assert.NilError(t, err)
+	return c.Run(ctx)
+}
+
+// Guards against stand-ins that report faults where there are none: a caller
+// straight at the backend servers finds every promise kept.
+func TestCallerAndBackend(t *testing.T) {
+	g := startBackends(t, "127.82.0.1")
+	for _, user := range []string{"board", "kelani"} {
+		r := runMix(t, user, "127.82.0.1", nil)
+		v := report.Judge(report.Input{Backends: []wire.BackendCounts{g.Counts()}, Callers: []wire.CallerResult{r}})
+		assert.Assert(t, v.OK(), "%s %v", v.Line(), v.Details)
+		assert.Equal(t, r.Feeds.Opened, 6)
+		assert.Equal(t, r.Feeds.Missing, 0)
+		assert.Assert(t, r.Feeds.Refreshes > 0 && r.Feeds.Readings > 60, "%+v", r.Feeds)
+		if user == "kelani" {
+			assert.Assert(t, r.Classes[LargeCertificate] != nil, "no transfer of many blocks: %+v", r.Classes[Certificate])
+		}
+	}
+}
+
+// forward is an instance that passes every datagram to one backend server and
+// back, with one socket for each caller.
+func forward(t *testing.T, ip, to string) {
+	t.Helper()
+	for _, port := range ports {
+		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(ip), Port: int(port)})
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		up := map[netip.AddrPort]*net.UDPConn{}
+		go func() {
+			buf := make([]byte, 2000)
+			for {
+				n, from, err := c.ReadFromUDPAddrPort(buf)
+				if err != nil {
+					return
+				}
+				if up[from] == nil {
+					u, _ := net.DialUDP("udp4", nil, &net.UDPAddr{IP: net.ParseIP(to), Port: int(port)})
+					t.Cleanup(func() { _ = u.Close() })
+					up[from] = u
+					go func() {
+						back := make([]byte, 2000)
+						for n, err := u.Read(back); err == nil; n, err = u.Read(back) {
+							_, _ = c.WriteToUDPAddrPort(back[:n], from)
+						}
+					}()
+				}
+				_, _ = up[from].Write(buf[:n])
+			}
+		}()
+	}
+}
+
+// Guards against a fabric that breaks what it forwards: with losses, duplicates
+// and reordering, go-coap's retransmission still gets every answer.
+func TestCallerThroughFabric(t *testing.T) {
+	g := startBackends(t, "127.82.0.2")
+	forward(t, "127.82.1.1", "127.82.0.2")
+	p, err := platform.New("", 0)
+	assert.NilError(t, err)
+	p.Set(platform.Instance{ID: "i1", DataCentre: "dc1", CallerIP: "127.82.1.1"})
+	s := httptest.NewServer(p)
+	t.Cleanup(s.Close)
+	opt := fabric.Options{
+		Platform: s.URL, Public: map[string]netip.Addr{"dc1": netip.MustParseAddr("127.82.2.1")},
+		Poll: 50 * time.Millisecond, Idle: time.Minute, Seed: 1,
+	}
+	for _, port := range ports {
+		opt.Ports = append(opt.Ports, port)
+	}
+	f := fabric.New(opt)
+	f.SetFaults(fabric.Faults{Loss: 0.01, Duplicate: 0.02, Reorder: 0.02, DelayMS: map[string]float64{"dc1": 1}})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	time.Sleep(200 * time.Millisecond)
+
+	r := runMix(t, "kelani", "127.82.2.1", nil)
+	v := report.Judge(report.Input{Backends: []wire.BackendCounts{g.Counts()}, Callers: []wire.CallerResult{r}})
+	assert.Assert(t, v.OK(), "%s %v", v.Line(), v.Details)
+	n := f.Counts()
+	assert.Assert(t, n.Lost > 0 && n.Duplicated > 0 && n.Reordered > 0, "%+v", n)
+}
+
+// Guards against a caller that runs a claim anew after "outcome unknown", drops
+// the admission token, or does not come back after a 5.03.
+func TestCallerFollowsRefusals(t *testing.T) {
+	var mu sync.Mutex
+	seen := map[string]int{} // requests by path and kind
+	handler := func(w *responsewriter.ResponseWriter[*client.Conn], r *pool.Message) {
+		p, _ := r.Path()
+		queries, _ := r.Queries()
+		_, err := r.Echo()
+		mu.Lock()
+		defer mu.Unlock()
+		m := w.Message()
+		switch {
+		case r.Code() == codes.POST && err != nil:
+			seen["no token"]++
+			m.SetCode(codes.Unauthorized)
+			m.SetOptionBytes(message.Echo, []byte("token"))
+		case r.Code() == codes.POST && seen["refused"] == 0:
+			seen["refused"]++
+			m.SetCode(codes.ServiceUnavailable)
+			m.SetOptionUint32(message.MaxAge, 0)
+		case r.Code() == codes.POST:
+			seen["unknown"]++
+			m.SetCode(codes.GatewayTimeout)
+		default:
+			seen[p+" "+queries[1]]++
+			m.SetCode(codes.NotFound)
+		}
+	}
+	l, err := coapnet.NewListenUDP("udp4", "127.82.4.1:5801")
+	assert.NilError(t, err)
+	s := udp.NewServer(options.WithHandlerFunc(handler))
+	t.Cleanup(func() { s.Stop(); _ = l.Close() })
+	go func() { _ = s.Serve(l) }()
+
+	r := runMix(t, "board", "127.82.4.1", func(o *Options) {
+		o.Sources, o.Feeds = []Source{{Class: Claim, Service: "counter", Rate: 1000}}, nil
+		o.Duration = 5 * time.Millisecond
+		o.Callers = 1
+	})
+	n := r.Classes[Claim].Started
+	assert.Assert(t, n > 0)
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Equal(t, r.Classes[Claim].Unknown, n)
+	assert.Equal(t, seen["no token"], n+1, "each attempt asks for a token once")
+	assert.Equal(t, seen["refused"], 1)
+	assert.Equal(t, seen["unknown"], n, "no new run after an unknown outcome")
+	assert.Equal(t, r.Classes[Outcome].Started, n)
+	assert.Equal(t, len(r.Refused), 1)
+}
--- /dev/null
+++ b/internal/standin/caller/operation.go
@@ -0,0 +1,154 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+
+	"arbutusdock.example/arbutusdock/internal/standin/wire"
+)
+
+const (
+	// maxComebacks is the number of times a caller comes back after a 5.03.
+	maxComebacks = 4
+	// maxEchoes is the number of admission tokens a request may be given.
+	maxEchoes = 6
+	// answerGrace is added to the deadline before a request is sent again.
+	answerGrace = time.Second
+)
+
+// operation is one thing a caller wants done.
+type operation struct {
+	class   string
+	service string
+	path    string
+	post    bool
+	large   bool // many blocks, long to produce
+}
+
+// perform carries out an operation and counts its result. It sends the same
+// request again when no response arrives, follows 4.01 with the Echo option,
+// comes back after a 5.03, and never sends a new request after a 5.04.
+func (c *Caller) perform(ctx context.Context, conn *conn, op operation, number uint64) {
+	began := time.Now()
+	c.stats.class(op.class, func(k *wire.Class) { k.Started++ })
+	id := wire.ID{Service: op.service, Caller: conn.name, Operation: number}
+	for id.Attempt = 1; ; id.Attempt++ {
+		a, err := c.attempt(ctx, conn, op, id)
+		switch {
+		case err != nil:
+			c.failed(op, id, began, wire.KindLost, err.Error())
+		case a.code == codes.Content || a.code == codes.Changed:
+			if _, err := wire.Verify(a.body, op.service, id.String()); err != nil {
+				c.failed(op, id, began, wire.KindCrossed, err.Error())
+				break
+			}
+			c.stats.class(op.class, func(k *wire.Class) { k.OK++ })
+			c.stats.took(op.class, time.Since(began))
+		case a.code == codes.ServiceUnavailable && id.Attempt <= maxComebacks:
+			c.stats.refused(id.String())
+			c.stats.class(op.class, func(k *wire.Class) { k.Comebacks++ })
+			if sleep(ctx, a.maxAge) {
+				continue
+			}
+			c.failed(op, id, began, wire.KindRefused, "run ended")
+		case a.code == codes.ServiceUnavailable || a.code == codes.Unauthorized:
+			c.stats.refused(id.String())
+			c.failed(op, id, began, wire.KindRefused, a.code.String())
+		case a.code == codes.GatewayTimeout:
+			c.failed(op, id, began, wire.KindUnknown, string(a.body)+"; "+c.outcome(ctx, conn, op, id))
+		default:
+			c.failed(op, id, began, wire.KindFailed, a.code.String())
+		}
+		return
+	}
+}
+
+func (c *Caller) failed(op operation, id wire.ID, began time.Time, kind, detail string) {
+	c.stats.class(op.class, func(k *wire.Class) {
+		switch kind {
+		case wire.KindLost:
+			k.Lost++
+		case wire.KindCrossed:
+			k.Wrong++
+		case wire.KindRefused:
+			k.Refused++
+		case wire.KindUnknown:
+			k.Unknown++
+		default:
+			k.Failed++
+		}
+	})
+	c.stats.fail(wire.Failure{
+		ID: id.String(), Class: op.class, Kind: kind, Detail: detail,
+		Start: began.UnixMilli(), End: time.Now().UnixMilli(),
+	})
+}
+
+// attempt sends one request until it has a final answer. The request is lost
+// when there is none by its deadline plus the CoAP transmission span.
+func (c *Caller) attempt(ctx context.Context, conn *conn, op operation, id wire.ID) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opt.Deadline+transmitSpan)
+	defer cancel()
+	q := question{code: codes.GET, path: op.path, id: id.String()}
+	if op.post {
+		q.code = codes.POST
+	}
+	send := conn.ask
+	for echoes := 0; ; {
+		once, stop := context.WithTimeout(ctx, c.opt.Deadline+answerGrace)
+		a, err := send(once, q)
+		stop()
+		switch {
+		case err != nil && ctx.Err() == nil && errors.Is(err, context.DeadlineExceeded):
+			// The same request again, with the same admission token if it has one.
+			c.stats.class(op.class, func(k *wire.Class) { k.Repeats++ })
+			if op.class == Certificate || op.class == LargeCertificate {
+				send = conn.fetch
+			}
+		case err != nil:
+			return a, err
+		case a.code == codes.Unauthorized && len(a.echo) > 0 && echoes < maxEchoes:
+			c.stats.class(op.class, func(k *wire.Class) { k.Echoes++ })
+			q.echo = a.echo
+			echoes++
+		default:
+			return a, nil
+		}
+	}
+}
+
+// outcome asks the service whether an operation was executed.
+func (c *Caller) outcome(ctx context.Context, conn *conn, op operation, id wire.ID) string {
+	ask := operation{class: Outcome, service: op.service, path: "/outcome"}
+	asked := wire.ID{Service: op.service, Caller: conn.name + "-q", Operation: id.Operation, Attempt: 1}
+	ctx, cancel := context.WithTimeout(ctx, c.opt.Deadline+transmitSpan)
+	defer cancel()
+	c.stats.class(ask.class, func(k *wire.Class) { k.Started++ })
+	a, err := conn.ask(ctx, question{code: codes.GET, path: ask.path, id: asked.String(), op: id.Op()})
+	if err != nil || a.code != codes.Content {
+		c.stats.class(ask.class, func(k *wire.Class) { k.Failed++ })
+		return "not told"
+	}
+	state, err := wire.Verify(a.body, op.service, asked.String())
+	if err != nil {
+		c.failed(ask, asked, time.Now(), wire.KindCrossed, err.Error())
+		return "not told"
+	}
+	c.stats.class(ask.class, func(k *wire.Class) { k.OK++ })
+	return state
+}
+
+// sleep reports whether d passed before ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/caller/stats.go
@@ -0,0 +1,75 @@
+package caller
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"arbutusdock.example/arbutusdock/internal/standin/wire"
+)
+
+// stats collects the counts of one caller process.
+type stats struct {
+	mu     sync.Mutex
+	result wire.CallerResult
+	times  map[string]*hdrhistogram.Histogram // microseconds, by class
+}
+
+func newStats(user string) *stats {
+	return &stats{
+		result: wire.CallerResult{User: user, Classes: map[string]*wire.Class{}},
+		times:  map[string]*hdrhistogram.Histogram{},
+	}
+}
+
+func (s *stats) class(name string, change func(*wire.Class)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.result.Classes[name]
+	if c == nil {
+		c = &wire.Class{}
+		s.result.Classes[name] = c
+	}
+	change(c)
+}
+
+func (s *stats) took(class string, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.times[class]
+	if h == nil {
+		h = hdrhistogram.New(1, int64(2*time.Minute/time.Microsecond), 3)
+		s.times[class] = h
+	}
+	_ = h.RecordValue(d.Microseconds()) // longer than the range cannot occur: every operation is bounded
+}
+
+func (s *stats) fail(f wire.Failure) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.result.Failures = append(s.result.Failures, f)
+}
+
+func (s *stats) refused(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.result.Refused = append(s.result.Refused, id)
+}
+
+func (s *stats) feeds(change func(*wire.Feeds)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.result.Feeds)
+}
+
+// summary returns the counts with the quantiles filled in.
+func (s *stats) summary() wire.CallerResult {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, h := range s.times {
+		c := s.result.Classes[name]
+		c.P50, c.P90, c.P99, c.Max = h.ValueAtQuantile(50), h.ValueAtQuantile(90), h.ValueAtQuantile(99), h.Max()
+	}
+	return s.result
+}
--- /dev/null
+++ b/internal/standin/fabric/fabric.go
@@ -0,0 +1,256 @@
+// Package fabric is the stand-in for the network fabric: it receives callers'
+// datagrams at public addresses and sprays each one over the instances that
+// the platform's list shows as live.
+package fabric
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"arbutusdock.example/arbutusdock/internal/standin/platform"
+)
+
+const (
+	maxDatagram = 64 << 10
+	// socketBuffer keeps bursts of several thousand datagrams, so that the only
+	// losses are those asked for.
+	socketBuffer = 4 << 20
+)
+
+// Options configure a Fabric.
+type Options struct {
+	Platform string                // base URL of the platform
+	Public   map[string]netip.Addr // public IP of each data centre
+	Ports    []uint16              // UDP port of each service
+	Poll     time.Duration         // interval at which the list of instances is read
+	Idle     time.Duration         // time after which an unused caller socket is closed
+	Seed     uint64
+	Logger   *slog.Logger
+}
+
+// Fabric forwards datagrams until its context ends.
+type Fabric struct {
+	opt    Options
+	mu     sync.Mutex
+	live   map[string][]platform.Instance // by data centre
+	byIP   map[netip.Addr]platform.Instance
+	faults Faults
+	counts Counts
+	rng    *rand.Rand
+	routes map[routeKey]*route
+}
+
+// routeKey identifies a caller at a public address.
+type routeKey struct {
+	caller netip.AddrPort
+	public netip.AddrPort
+}
+
+// route is the upstream socket of one caller: the instances see the caller's
+// own IP and one stable port, and their replies leave from the public address.
+type route struct {
+	key    routeKey
+	dc     string
+	up     *net.UDPConn
+	public *net.UDPConn
+	used   time.Time // guarded by Fabric.mu
+}
+
+// New returns a fabric that is not running yet.
+func New(opt Options) *Fabric {
+	if opt.Logger == nil {
+		opt.Logger = slog.Default()
+	}
+	return &Fabric{
+		opt:    opt,
+		live:   map[string][]platform.Instance{},
+		byIP:   map[netip.Addr]platform.Instance{},
+		counts: Counts{Instances: map[string]int{}},
+		rng:    rand.New(rand.NewPCG(opt.Seed, opt.Seed)),
+		routes: map[routeKey]*route{},
+	}
+}
+
+// Run listens on every public address and forwards until ctx ends.
+func (f *Fabric) Run(ctx context.Context) error {
+	var sockets []*net.UDPConn
+	defer func() {
+		for _, c := range sockets {
+			_ = c.Close()
+		}
+		f.expire(time.Now().Add(24 * time.Hour))
+	}()
+	for dc, ip := range f.opt.Public {
+		for _, port := range f.opt.Ports {
+			c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(ip, port)))
+			if err != nil {
+				return eris.Wrapf(err, "listen on public address of data centre %s", dc)
+			}
+			_ = c.SetReadBuffer(socketBuffer) // the kernel may grant less
+			sockets = append(sockets, c)
+			go f.receive(c, dc)
+		}
+	}
+	poll := time.NewTicker(f.opt.Poll)
+	defer poll.Stop()
+	for {
+		f.refresh(ctx)
+		f.expire(time.Now())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-poll.C:
+		}
+	}
+}
+
+// refresh reads the list of instances. The last list stays in use while the
+// platform does not respond.
+func (f *Fabric) refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.opt.Platform+"/v1/instances", nil)
+	if err != nil {
+		return
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var list struct{ Instances []platform.Instance }
+	if json.NewDecoder(resp.Body).Decode(&list) != nil {
+		return
+	}
+	live := map[string][]platform.Instance{}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, in := range list.Instances {
+		ip, err := netip.ParseAddr(in.CallerIP)
+		if err != nil {
+			f.opt.Logger.Warn("instance ignored", "instance", in.ID, "caller_ip", in.CallerIP)
+			continue
+		}
+		f.byIP[ip] = in
+		if !in.Leaving {
+			live[in.DataCentre] = append(live[in.DataCentre], in)
+		}
+	}
+	f.live = live
+}
+
+// receive forwards the datagrams of callers that arrive at one public address.
+func (f *Fabric) receive(c *net.UDPConn, dc string) {
+	public := c.LocalAddr().(*net.UDPAddr).AddrPort()
+	buf := make([]byte, maxDatagram)
+	for {
+		n, caller, err := c.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		caller = netip.AddrPortFrom(caller.Addr().Unmap(), caller.Port())
+		r, err := f.route(routeKey{caller: caller, public: public}, dc, c)
+		if err != nil {
+			f.opt.Logger.Error("no upstream socket", "caller", caller, "error", err)
+			continue
+		}
+		f.forward(dc, buf[:n], func(datagram []byte) {
+			if in, to, ok := f.pick(dc, public.Port()); ok {
+				if _, err := r.up.WriteToUDPAddrPort(datagram, to); err == nil {
+					f.count(func(c *Counts) { c.ToInstances++; c.Instances[in.ID]++ })
+				}
+			}
+		})
+	}
+}
+
+// pick chooses a live instance of the data centre.
+func (f *Fabric) pick(dc string, port uint16) (in platform.Instance, to netip.AddrPort, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	live := f.live[dc]
+	if len(live) == 0 {
+		f.counts.NoInstance++
+		return in, to, false
+	}
+	in = live[f.rng.IntN(len(live))]
+	if f.faults.cuts(in) {
+		f.counts.Cut++
+		return in, to, false
+	}
+	return in, netip.AddrPortFrom(netip.MustParseAddr(in.CallerIP), port), true
+}
+
+func (f *Fabric) route(k routeKey, dc string, public *net.UDPConn) (*route, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r, ok := f.routes[k]; ok {
+		r.used = time.Now()
+		return r, nil
+	}
+	up, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(k.caller.Addr(), 0)))
+	if err != nil {
+		return nil, eris.Wrapf(err, "bind to the IP of caller %s", k.caller)
+	}
+	r := &route{key: k, dc: dc, up: up, public: public, used: time.Now()}
+	f.routes[k] = r
+	f.counts.Sockets++
+	go f.reply(r)
+	return r, nil
+}
+
+// reply forwards what instances send to the caller of r.
+func (f *Fabric) reply(r *route) {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, err := r.up.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		f.mu.Lock()
+		in, known := f.byIP[from.Addr().Unmap()]
+		cut := known && f.faults.cuts(in)
+		if !known || from.Port() != r.key.public.Port() {
+			f.counts.Stray++
+		}
+		if cut {
+			f.counts.Cut++
+		}
+		r.used = time.Now()
+		f.mu.Unlock()
+		if !known || cut || from.Port() != r.key.public.Port() {
+			continue
+		}
+		f.forward(r.dc, buf[:n], func(datagram []byte) {
+			if _, err := r.public.WriteToUDPAddrPort(datagram, r.key.caller); err == nil {
+				f.count(func(c *Counts) { c.ToCallers++ })
+			}
+		})
+	}
+}
+
+func (f *Fabric) expire(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for k, r := range f.routes {
+		if now.Sub(r.used) > f.opt.Idle {
+			_ = r.up.Close()
+			delete(f.routes, k)
+		}
+	}
+}
+
+func (f *Fabric) count(change func(*Counts)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(&f.counts)
+}
--- /dev/null
+++ b/internal/standin/fabric/fabric_test.go
@@ -0,0 +1,106 @@
+package fabric
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"arbutusdock.example/arbutusdock/internal/standin/platform"
+)
+
+// echo returns every datagram with the name of the instance in front.
+func echo(t *testing.T, name string, at netip.AddrPort) {
+	t.Helper()
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	go func() {
+		buf := make([]byte, 2000)
+		for {
+			n, from, err := c.ReadFromUDPAddrPort(buf)
+			if err != nil {
+				return
+			}
+			_, _ = c.WriteToUDPAddrPort(append([]byte(name+" "+from.String()+" "), buf[:n]...), from)
+		}
+	}()
+}
+
+// start runs a fabric with two instances and returns a socket that calls it.
+func start(t *testing.T, port uint16) (*Fabric, *net.UDPConn) {
+	t.Helper()
+	p, err := platform.New("", 0)
+	assert.NilError(t, err)
+	for _, in := range []platform.Instance{
+		{ID: "a", DataCentre: "dc1", CallerIP: "127.81.0.1"}, {ID: "b", DataCentre: "dc1", CallerIP: "127.81.0.2"},
+	} {
+		p.Set(in)
+		echo(t, in.ID, netip.AddrPortFrom(netip.MustParseAddr(in.CallerIP), port))
+	}
+	s := httptest.NewServer(p)
+	t.Cleanup(s.Close)
+	public := netip.MustParseAddr("127.81.0.10")
+	f := New(Options{
+		Platform: s.URL, Public: map[string]netip.Addr{"dc1": public}, Ports: []uint16{port},
+		Poll: 20 * time.Millisecond, Idle: time.Minute, Seed: 1,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	time.Sleep(100 * time.Millisecond)
+	c, err := net.DialUDP("udp4", &net.UDPAddr{IP: net.ParseIP("127.81.0.20")}, &net.UDPAddr{IP: public.AsSlice(), Port: int(port)})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return f, c
+}
+
+func exchange(c *net.UDPConn) string {
+	_, _ = c.Write([]byte("x"))
+	_ = c.SetReadDeadline(time.Now().Add(120 * time.Millisecond))
+	buf := make([]byte, 2000)
+	n, err := c.Read(buf)
+	if err != nil {
+		return ""
+	}
+	return string(buf[:n])
+}
+
+// Guards against an instance seeing a different endpoint per datagram, against
+// replies that leave from another address, and against a spray that always
+// picks the same instance.
+func TestStableEndpointAndSpray(t *testing.T) {
+	f, c := start(t, 5791)
+	seen := map[string]int{}
+	for range 40 {
+		seen[exchange(c)]++
+	}
+	assert.Equal(t, len(seen), 2, "one endpoint at each of two instances: %v", seen)
+	assert.Equal(t, f.Counts().Sockets, 1)
+	assert.Equal(t, f.Counts().ToCallers, 40)
+}
+
+// Guards against faults that do not take effect or affect other instances.
+func TestFaults(t *testing.T) {
+	f, c := start(t, 5792)
+	f.SetFaults(Faults{CutInstances: []string{"a"}})
+	answers := 0
+	for range 20 {
+		if r := exchange(c); r != "" {
+			assert.Equal(t, r[0], byte('b'))
+			answers++
+		}
+	}
+	assert.Assert(t, answers > 0 && answers < 20)
+	f.SetFaults(Faults{Loss: 1})
+	assert.Equal(t, exchange(c), "")
+	f.SetFaults(Faults{DelayMS: map[string]float64{"dc1": 40}})
+	began := time.Now()
+	assert.Assert(t, exchange(c) != "")
+	assert.Assert(t, time.Since(began) >= 80*time.Millisecond, "the delay applies in both directions")
+}
--- /dev/null
+++ b/internal/standin/platform/server.go
@@ -0,0 +1,228 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxWait bounds the wait of a watch.
+const maxWait = 60 * time.Second
+
+// Fault is how the platform misbehaves towards the clients of one of its
+// listen addresses.
+type Fault struct {
+	// Listen is the local IP address to which the fault applies; empty for all.
+	Listen string `json:"listen"`
+	// Down closes every connection without a response.
+	Down bool `json:"down"`
+	// Stale, unless 0, is the revision whose state is served.
+	Stale uint64 `json:"stale"`
+	// SlowMS delays each response.
+	SlowMS int `json:"slow_ms"`
+}
+
+// Counts are the calls answered so far.
+type Counts struct {
+	Reads         int `json:"reads"`
+	Watches       int `json:"watches"`
+	Lists         int `json:"lists"`
+	PeakPerSecond int `json:"peak_per_second"`
+}
+
+// Platform serves the interface of section 3.7 of the design and a control
+// interface below /control/.
+type Platform struct {
+	docs *store
+	list *list
+
+	mu     sync.Mutex
+	faults map[string]Fault
+	counts Counts
+	second int64
+	calls  int
+	mux    *http.ServeMux
+}
+
+// New returns a platform with the documents below dir (none if empty) and a
+// list of instances that lags by lag.
+func New(dir string, lag time.Duration) (*Platform, error) {
+	p := &Platform{docs: newStore(), list: newList(lag), faults: map[string]Fault{}, mux: http.NewServeMux()}
+	if dir != "" {
+		if err := p.docs.load(dir); err != nil {
+			return nil, err
+		}
+	}
+	p.mux.HandleFunc("GET /v1/documents", p.documents)
+	p.mux.HandleFunc("GET /v1/instances", p.instances)
+	p.mux.HandleFunc("PUT /v1/documents/{key...}", p.put)
+	p.mux.HandleFunc("DELETE /v1/documents/{key...}", p.put)
+	p.mux.HandleFunc("GET /control/counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Counts()) })
+	p.mux.HandleFunc("PUT /control/fault", p.setFault)
+	p.mux.HandleFunc("PUT /control/lag", p.setLag)
+	p.mux.HandleFunc("PUT /control/instances/{id}", p.setInstance)
+	p.mux.HandleFunc("DELETE /control/instances/{id}", p.setInstance)
+	p.mux.HandleFunc("POST /control/instances/{id}/leave", p.leave)
+	return p, nil
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
+
+// Counts returns the calls answered so far.
+func (p *Platform) Counts() Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts
+}
+
+// Set adds an instance to the list or replaces it.
+func (p *Platform) Set(in Instance) { p.list.set(in, true) }
+
+// call counts a call and applies the fault of the listen address.
+func (p *Platform) call(r *http.Request, n *int) Fault {
+	f := p.fault(r)
+	if f.Down {
+		panic(http.ErrAbortHandler)
+	}
+	p.mu.Lock()
+	*n++
+	if now := time.Now().Unix(); now != p.second {
+		p.second, p.calls = now, 0
+	}
+	p.calls++
+	p.counts.PeakPerSecond = max(p.counts.PeakPerSecond, p.calls)
+	p.mu.Unlock()
+	time.Sleep(time.Duration(f.SlowMS) * time.Millisecond)
+	return f
+}
+
+func (p *Platform) fault(r *http.Request) Fault {
+	ip := ""
+	if a, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr); ok {
+		ip, _, _ = net.SplitHostPort(a.String())
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if f, ok := p.faults[ip]; ok {
+		return f
+	}
+	return p.faults[""]
+}
+
+func (p *Platform) documents(w http.ResponseWriter, r *http.Request) {
+	after, err := number(r, "after")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	wait, err := number(r, "wait")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	n := &p.counts.Reads
+	if wait > 0 {
+		n = &p.counts.Watches
+	}
+	f := p.call(r, n)
+	timer := time.NewTimer(min(time.Duration(wait)*time.Second, maxWait))
+	defer timer.Stop()
+	for {
+		page, changed := p.docs.page(after, f.Stale)
+		if wait == 0 || len(page.Documents) > 0 {
+			writeJSON(w, page)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			wait = 0
+		case <-r.Context().Done():
+			return
+		}
+		if f = p.fault(r); f.Down {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func (p *Platform) instances(w http.ResponseWriter, r *http.Request) {
+	p.call(r, &p.counts.Lists)
+	writeJSON(w, map[string]any{"instances": p.list.show()})
+}
+
+func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
+	var value *string
+	if r.Method == http.MethodPut {
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+			return
+		}
+		s := string(data)
+		value = &s
+	}
+	writeJSON(w, map[string]uint64{"revision": p.docs.publish(r.PathValue("key"), value)})
+}
+
+func (p *Platform) setFault(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	if readJSON(w, r, &f) {
+		p.mu.Lock()
+		p.faults[f.Listen] = f
+		p.mu.Unlock()
+	}
+}
+
+func (p *Platform) setLag(w http.ResponseWriter, r *http.Request) {
+	var v struct {
+		LagMS int `json:"lag_ms"`
+	}
+	if readJSON(w, r, &v) {
+		p.list.setLag(time.Duration(v.LagMS) * time.Millisecond)
+	}
+}
+
+func (p *Platform) setInstance(w http.ResponseWriter, r *http.Request) {
+	in := Instance{ID: r.PathValue("id")}
+	if r.Method == http.MethodPut && !readJSON(w, r, &in) {
+		return
+	}
+	in.ID = r.PathValue("id")
+	p.list.set(in, r.Method == http.MethodPut)
+}
+
+func (p *Platform) leave(w http.ResponseWriter, r *http.Request) {
+	if !p.list.leave(r.PathValue("id")) {
+		http.Error(w, "unknown instance", http.StatusNotFound)
+	}
+}
+
+func number(r *http.Request, name string) (uint64, error) {
+	s := r.URL.Query().Get(name)
+	if s == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(s, 10, 64)
+	return n, eris.Wrapf(err, "parameter %s", name)
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(r.Body).Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // the client has gone if this fails
+}
--- /dev/null
+++ b/internal/standin/report/report.go
@@ -0,0 +1,271 @@
+// Package report sums up what the stand-ins have counted and judges it against
+// the promises of the design. It uses no count of the product itself.
+package report
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"arbutusdock.example/arbutusdock/internal/standin/wire"
+)
+
+// Events that Judge knows. Other names are listed only.
+const (
+	StopBegin = "stop-begin" // SIGTERM sent to an instance
+	StopEnd   = "stop-end"   // that instance has exited
+	Kill      = "kill"       // an instance was killed
+)
+
+const (
+	// killBefore and killAfter delimit the start of a feed break that the killing
+	// of an instance explains. A break starts at the last reading, up to one
+	// reading interval before the kill.
+	killBefore = 2 * time.Second
+	killAfter  = 5 * time.Second
+	// comeBack is the time within which such a feed must be back.
+	comeBack = 15 * time.Second
+	// minAnswered is the share of the operations of a class that must have been
+	// answered, so that refusing everything does not pass as keeping promises.
+	minAnswered = 0.95
+)
+
+// Event is something that the demo or a test did.
+type Event struct {
+	At   int64 // Unix time in milliseconds
+	Name string
+	Note string
+}
+
+// Input is everything that was counted.
+type Input struct {
+	Backends []wire.BackendCounts
+	Callers  []wire.CallerResult
+	Events   []Event
+}
+
+// Verdict holds the broken promises.
+type Verdict struct {
+	BrokenFlows   int
+	Crossed       int
+	Doubled       int
+	Lost          int
+	FalseRefusals int
+	CutByStop     int
+	// AllowedBreaks are feeds that broke once when an instance was killed and
+	// came back in time.
+	AllowedBreaks int
+	// LateWork is work given to a backend server more than 5 s into its drain,
+	// and feeds still open there at the end of its grace period.
+	LateWork int
+	// Details explains what was counted above and what else failed.
+	Details []string
+}
+
+// OK reports whether every promise was kept.
+func (v *Verdict) OK() bool { return len(v.Details) == 0 }
+
+// Line returns the counts in one line.
+func (v *Verdict) Line() string {
+	return fmt.Sprintf("broken_flows=%d crossed=%d doubled=%d lost_answers=%d false_refusals=%d cut_by_planned_stop=%d",
+		v.BrokenFlows, v.Crossed, v.Doubled, v.Lost, v.FalseRefusals, v.CutByStop)
+}
+
+func (v *Verdict) add(n *int, format string, args ...any) {
+	*n++
+	v.Details = append(v.Details, fmt.Sprintf(format, args...))
+}
+
+// ParseEvents reads lines of "unix-ms name note".
+func ParseEvents(r io.Reader) ([]Event, error) {
+	var events []Event
+	for s := bufio.NewScanner(r); s.Scan(); {
+		f := strings.SplitN(s.Text(), " ", 3)
+		if len(f) < 2 {
+			continue
+		}
+		at, err := strconv.ParseInt(f[0], 10, 64)
+		if err != nil {
+			return nil, eris.Wrapf(err, "event %q", s.Text())
+		}
+		e := Event{At: at, Name: f[1]}
+		if len(f) == 3 {
+			e.Note = f[2]
+		}
+		events = append(events, e)
+	}
+	return events, nil
+}
+
+// Judge compares the counts with the promises.
+func Judge(in Input) Verdict {
+	var v Verdict
+	runs := map[string]wire.Run{}
+	for _, b := range in.Backends {
+		maps.Copy(runs, b.Runs)
+		for name, t := range b.Targets {
+			for range t.Foreign {
+				v.add(&v.Crossed, "crossed: request of another service at %s", name)
+			}
+			for range t.LateWork + t.FeedsCut {
+				v.add(&v.LateWork, "draining backend server: new work or open feed at %s after its grace period", name)
+			}
+		}
+	}
+	v.judgeRuns(runs)
+	for _, c := range in.Callers {
+		for _, id := range c.Refused {
+			if runs[id].Count > 0 {
+				v.add(&v.FalseRefusals, "false refusal: %s was refused as not run but ran (post=%t)", id, runs[id].Post)
+			}
+		}
+		v.judgeFailures(c.Failures, in.Events)
+		for _, name := range slices.Sorted(maps.Keys(c.Classes)) {
+			k := c.Classes[name]
+			if isFeed(name) || name == "outcome query" {
+				continue
+			}
+			if float64(k.OK) < minAnswered*float64(k.Started) || k.Started == 0 {
+				v.Details = append(v.Details, fmt.Sprintf("service: only %d of %d answered in class %s", k.OK, k.Started, name))
+			}
+		}
+	}
+	return v
+}
+
+// judgeRuns counts operations that ran more than once although they must not.
+func (v *Verdict) judgeRuns(runs map[string]wire.Run) {
+	ops := map[string]int{}
+	for s, r := range runs {
+		if id, err := wire.ParseID(s); err == nil && r.Post {
+			ops[id.Op()] += r.Count
+		}
+	}
+	for _, op := range slices.Sorted(maps.Keys(ops)) {
+		if ops[op] > 1 {
+			v.add(&v.Doubled, "doubled: %s ran %d times", op, ops[op])
+		}
+	}
+}
+
+func (v *Verdict) judgeFailures(failures []wire.Failure, events []Event) {
+	killed := map[string]bool{}
+	for _, f := range failures {
+		stop, kill := during(f, events)
+		what := fmt.Sprintf("%s %s %s from %d to %d: %s", f.Kind, f.Class, f.ID, f.Start, f.End, f.Detail)
+		cut := stop && !kill
+		switch f.Kind {
+		case wire.KindCrossed:
+			v.add(&v.Crossed, "%s", what)
+			cut = false
+		case wire.KindLost:
+			v.add(&v.Lost, "%s", what)
+		case wire.KindFeedEnded, wire.KindSilent:
+			feed := f.ID[:strings.LastIndex(f.ID, ".")]
+			if kill && !killed[feed] && f.End != 0 && f.End-f.Start <= comeBack.Milliseconds() {
+				killed[feed] = true
+				v.AllowedBreaks++
+			} else {
+				v.add(&v.BrokenFlows, "%s", what)
+			}
+		case wire.KindFailed:
+			v.Details = append(v.Details, what)
+		case wire.KindRefused:
+			cut = false // true refusals under load; the share answered is judged instead
+		}
+		if cut {
+			v.add(&v.CutByStop, "cut by planned stop: %s", what)
+		}
+	}
+}
+
+// during reports whether a failure overlaps a planned stop, and whether the
+// killing of an instance explains it.
+func during(f wire.Failure, events []Event) (stop, kill bool) {
+	end := f.End
+	if end == 0 {
+		end = 1 << 62
+	}
+	begin := int64(0)
+	for _, e := range events {
+		switch e.Name {
+		case StopBegin:
+			begin = e.At
+		case StopEnd:
+			stop = stop || f.Start <= e.At && end >= begin
+		case Kill:
+			from, to := e.At-killBefore.Milliseconds(), e.At+killAfter.Milliseconds()
+			if isFeed(f.Class) {
+				kill = kill || f.Start >= from && f.Start <= to
+			} else {
+				kill = kill || f.Start <= to && end >= from
+			}
+		}
+	}
+	return stop, kill
+}
+
+func isFeed(class string) bool { return strings.HasSuffix(class, "feed") }
+
+// Write prints the table, the rules and the verdict.
+func Write(w io.Writer, in Input, v Verdict) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "user\tclass\tstarted\tok\trefused\tunknown\tlost\twrong\tfailed\tcomebacks\trepeats\tp50 ms\tp99 ms\tmax ms\t")
+	ms := func(us int64) string { return strconv.FormatFloat(float64(us)/1000, 'f', 1, 64) }
+	for _, c := range in.Callers {
+		for _, name := range slices.Sorted(maps.Keys(c.Classes)) {
+			k := c.Classes[name]
+			if isFeed(name) {
+				continue
+			}
+			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t\n", c.User, name, k.Started, k.OK, k.Refused,
+				k.Unknown, k.Lost, k.Wrong, k.Failed, k.Comebacks, k.Repeats, ms(k.P50), ms(k.P99), ms(k.Max))
+		}
+	}
+	fmt.Fprintln(t, "\nuser\tfeeds opened\treadings\tmissing\trepeated\trefreshes\tbreaks\t")
+	for _, c := range in.Callers {
+		f := c.Feeds
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t\n", c.User, f.Opened, f.Readings, f.Missing, f.Repeated, f.Refreshes, f.Breaks)
+	}
+	fmt.Fprintln(t, "\nservice\trequests\truns\tshed\tcancelled\texpired\tforeign\tfeeds cut\tlate work\t")
+	sum := map[string]wire.TargetCounts{}
+	for _, b := range in.Backends {
+		for _, n := range b.Targets {
+			s := sum[n.Service]
+			s.Requests, s.Runs, s.Shed = s.Requests+n.Requests, s.Runs+n.Runs, s.Shed+n.Shed
+			s.Cancelled, s.Expired, s.Foreign = s.Cancelled+n.Cancelled, s.Expired+n.Expired, s.Foreign+n.Foreign
+			s.FeedsCut, s.LateWork = s.FeedsCut+n.FeedsCut, s.LateWork+n.LateWork
+			sum[n.Service] = s
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(sum)) {
+		s := sum[name]
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", name, s.Requests, s.Runs, s.Shed, s.Cancelled, s.Expired, s.Foreign, s.FeedsCut, s.LateWork)
+	}
+	if err := t.Flush(); err != nil {
+		return eris.Wrap(err, "write table")
+	}
+	fmt.Fprintf(w, "\nallowed breaks: %d feeds whose last reading was between %s before and %s after the killing of an instance broke once and came back within %s\n",
+		v.AllowedBreaks, killBefore, killAfter, comeBack)
+	for i, d := range v.Details {
+		if i == 40 {
+			fmt.Fprintf(w, "... and %d more\n", len(v.Details)-i)
+			break
+		}
+		fmt.Fprintln(w, d)
+	}
+	result := "ok"
+	if !v.OK() {
+		result = "failed"
+	}
+	_, err := fmt.Fprintf(w, "%s\ndemo: %s\n", v.Line(), result)
+	return eris.Wrap(err, "write verdict")
+}
--- /dev/null
+++ b/internal/standin/report/report_test.go
@@ -0,0 +1,55 @@
+package report
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"arbutusdock.example/arbutusdock/internal/standin/wire"
+)
+
+func answered() map[string]*wire.Class {
+	return map[string]*wire.Class{"claim": {Started: 100, OK: 99}}
+}
+
+// Guards against a verdict that overlooks a broken promise, and against one
+// that blames the product for what the rules allow.
+func TestJudge(t *testing.T) {
+	events, err := ParseEvents(strings.NewReader("10000 stop-begin dc1-1\n14000 stop-end dc1-1\n20000 kill dc1-2\n"))
+	assert.NilError(t, err)
+	in := Input{Events: events}
+	in.Backends = []wire.BackendCounts{{
+		Targets: map[string]wire.TargetCounts{"counter/c1": {Service: "counter", Foreign: 1}},
+		Runs: map[string]wire.Run{
+			"counter.a.1.1": {Count: 1, Post: true}, "counter.a.1.2": {Count: 1, Post: true}, // two attempts of one claim
+			"counter.a.2.1": {Count: 3}, // a GET may run again
+		},
+	}}
+	in.Callers = []wire.CallerResult{{
+		Classes: answered(),
+		Refused: []string{"counter.a.1.1", "counter.a.9.1"},
+		Failures: []wire.Failure{
+			{ID: "alarm.f.1.1", Class: "alarm feed", Kind: wire.KindSilent, Start: 19900, End: 24000}, // by the kill
+			{ID: "alarm.f.1.2", Class: "alarm feed", Kind: wire.KindSilent, Start: 24500, End: 26000}, // a second time
+			{ID: "alarm.f.2.1", Class: "alarm feed", Kind: wire.KindSilent, Start: 19900},             // never back
+			{ID: "alarm.f.3.1", Class: "alarm feed", Kind: wire.KindFeedEnded, Start: 12000, End: 12500},
+			{ID: "counter.a.3.1", Class: "claim", Kind: wire.KindUnknown, Start: 13000, End: 13100},
+			{ID: "counter.a.4.1", Class: "claim", Kind: wire.KindUnknown, Start: 20100, End: 20300},
+			{ID: "counter.a.5.1", Class: "claim", Kind: wire.KindRefused, Start: 13000, End: 13100},
+			{ID: "counter.a.6.1", Class: "claim", Kind: wire.KindLost, Start: 1000, End: 2000},
+		},
+	}}
+	v := Judge(in)
+	assert.Equal(t, v.Line(), "broken_flows=3 crossed=1 doubled=1 lost_answers=1 false_refusals=1 cut_by_planned_stop=2")
+	assert.Equal(t, v.AllowedBreaks, 1)
+	assert.Assert(t, !v.OK())
+}
+
+// Guards against a demo that passes because nothing was answered.
+func TestJudgeNeedsAnswers(t *testing.T) {
+	v := Judge(Input{Callers: []wire.CallerResult{{Classes: answered()}}})
+	assert.Assert(t, v.OK(), "%v", v.Details)
+	v = Judge(Input{Callers: []wire.CallerResult{{Classes: map[string]*wire.Class{"claim": {Started: 100, OK: 50}}}}})
+	assert.Assert(t, !v.OK())
+}
