--- /dev/null
+++ b/internal/peerwire/codec.go
@@ -0,0 +1,126 @@
+package peerwire
+
+import (
+	"bytes"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+// Limits on peer messages.
+const (
+	// MaxMessage is the largest encoded message, in bytes. A document of 1 MB,
+	// the largest that the platform holds, fits with room for its envelope.
+	MaxMessage = 1<<20 + 64<<10
+	// MaxControlPart is the size, in bytes, at which a sender splits control
+	// messages, so that one of them does not hold the budget for seconds.
+	MaxControlPart = 64 << 10
+
+	maxNesting  = 6       // the deepest message, AdmissionMove, nests four levels
+	maxElements = 1 << 16 // entries of one array or map
+)
+
+// Errors of Decode beyond those of the CBOR library.
+var (
+	ErrTooLarge = eris.New("decode peer message: exceeds the size limit")
+	ErrBodies   = eris.New("decode peer message: does not hold exactly one body")
+	ErrFrom     = eris.New("decode peer message: sender missing")
+)
+
+var (
+	encMode = must(cbor.EncOptions{Sort: cbor.SortNone}.EncMode())
+	decMode = must(cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxNestedLevels:  maxNesting,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+		UTF8:             cbor.UTF8RejectInvalid,
+	}.DecMode())
+)
+
+func must[T any](mode T, err error) T {
+	if err != nil {
+		panic(err) // the options above are constants
+	}
+	return mode
+}
+
+// Encode appends m in CBOR to dst and returns the result.
+func Encode(dst []byte, m *Message) ([]byte, error) {
+	if n := m.bodies(); n != 1 {
+		return dst, eris.Errorf("encode peer message: %d bodies instead of one", n)
+	}
+	buf := bytes.NewBuffer(dst)
+	if err := encMode.NewEncoder(buf).Encode(m); err != nil {
+		return dst, eris.Wrap(err, "encode peer message")
+	}
+	if buf.Len()-len(dst) > MaxMessage {
+		return dst, eris.Errorf("encode peer message: %d bytes exceed the limit of %d", buf.Len()-len(dst), MaxMessage)
+	}
+	return buf.Bytes(), nil
+}
+
+// Decode fills m from data, which holds one message and nothing else. Unknown
+// keys are ignored, so that a later release can add fields. m does not refer
+// to data afterwards.
+func Decode(data []byte, m *Message) error {
+	if len(data) > MaxMessage {
+		return ErrTooLarge
+	}
+	*m = Message{}
+	if err := decMode.Unmarshal(data, m); err != nil {
+		return eris.Wrap(err, "decode peer message")
+	}
+	if m.bodies() != 1 {
+		return ErrBodies
+	}
+	if m.From == "" {
+		return ErrFrom
+	}
+	return nil
+}
+
+func (m *Message) bodies() int {
+	n := 0
+	for _, present := range [...]bool{
+		m.Heartbeat != nil, m.MemberDelta != nil, m.ConfigRequest != nil, m.ConfigDelta != nil,
+		m.Relay != nil, m.SlotFree != nil, m.AckRoute != nil, m.FeedMove != nil, m.FeedMoved != nil,
+		m.AdmissionMove != nil, m.AdmissionMoved != nil,
+	} {
+		if present {
+			n++
+		}
+	}
+	return n
+}
+
+// Kind returns the name of the body, for logs and metrics.
+func (m *Message) Kind() string {
+	switch {
+	case m.Heartbeat != nil:
+		return "heartbeat"
+	case m.MemberDelta != nil:
+		return "member_delta"
+	case m.ConfigRequest != nil:
+		return "config_request"
+	case m.ConfigDelta != nil:
+		return "config_delta"
+	case m.Relay != nil:
+		return "relay"
+	case m.SlotFree != nil:
+		return "slot_free"
+	case m.AckRoute != nil:
+		return "ack_route"
+	case m.FeedMove != nil:
+		return "feed_move"
+	case m.FeedMoved != nil:
+		return "feed_moved"
+	case m.AdmissionMove != nil:
+		return "admission_move"
+	case m.AdmissionMoved != nil:
+		return "admission_moved"
+	}
+	return "none"
+}
