Add the ring, telemetry and platform packages

Cause: the daemon needs bounded hand-over between goroutines, logs, metrics and traces, and a reader of the platform. Change: ring drops and counts when full; telemetry has slog text lines, expvar metrics per daemon and OpenTelemetry spans with sampling by request; platform reads documents, watches and the instance list with timeouts, size limits and jittered retries, and rejects pages out of order of revision.

--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,205 @@
+// Package platform is the client of the platform's configuration service and
+// instance list (HTTP with JSON, section 3.7 of docs/design.md). It only reads.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"arbutusdock.example/arbutusdock/internal/core"
+	"arbutusdock.example/arbutusdock/internal/ids"
+)
+
+// Limits of the client.
+const (
+	// ReadTimeout bounds a call without a wait. The platform answers in
+	// milliseconds when it is up.
+	ReadTimeout = 2 * time.Second
+	// WatchWait is the time for which the platform holds a watch. A proxy or
+	// firewall between the two commonly drops connections idle for 60 s.
+	WatchWait = 30 * time.Second
+	// MaxBody bounds a response. A page holds at most 1 MB of values; JSON
+	// escaping can make them up to six times as long.
+	MaxBody = 6<<20 + 256<<10
+
+	maxDocuments = 1 << 16
+	maxInstances = 1 << 14
+	attempts     = 3
+	backoffMin   = 100 * time.Millisecond
+)
+
+// Errors of a response that cannot be used.
+var (
+	ErrTooLarge = eris.New("platform: response exceeds the size limit")
+	ErrOrder    = eris.New("platform: documents out of order of revision")
+)
+
+// Client reads from one platform address.
+type Client struct {
+	base string
+	http *http.Client
+	rand func() float64
+}
+
+// New returns a client for the platform at base, an http or https URL. random
+// yields numbers from 0 to 1 for the jitter of retries; nil takes a default.
+func New(base string, random func() float64) *Client {
+	if random == nil {
+		random = rand.Float64
+	}
+	return &Client{
+		base: base,
+		rand: random,
+		http: &http.Client{
+			Transport:     &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// Page is one page of publications.
+type Page struct {
+	Documents []core.Published
+	Upto      ids.Revision
+	More      bool // further documents follow after the last of this page
+}
+
+type documentsBody struct {
+	Upto      ids.Revision `json:"upto"`
+	More      bool         `json:"more"`
+	Documents []struct {
+		Key      string       `json:"key"`
+		Revision ids.Revision `json:"revision"`
+		Value    *string      `json:"value"`
+	} `json:"documents"`
+}
+
+// Documents reads the publications after a revision. With watch it waits up
+// to WatchWait for one; a page without documents then means that there was
+// none. Failed calls are repeated with jittered back-off; the error is that of
+// the last attempt.
+func (c *Client) Documents(ctx context.Context, after ids.Revision, watch bool) (Page, error) {
+	query := url.Values{"after": {strconv.FormatUint(uint64(after), 10)}}
+	timeout := ReadTimeout
+	if watch {
+		query.Set("wait", strconv.Itoa(int(WatchWait/time.Second)))
+		timeout += WatchWait
+	}
+	var body documentsBody
+	if err := c.get(ctx, "/v1/documents?"+query.Encode(), timeout, &body); err != nil {
+		return Page{}, eris.Wrapf(err, "read documents after revision %d", after)
+	}
+	return body.page(after)
+}
+
+func (b *documentsBody) page(after ids.Revision) (Page, error) {
+	if len(b.Documents) > maxDocuments {
+		return Page{}, ErrTooLarge
+	}
+	page := Page{Upto: b.Upto, More: b.More}
+	last := after
+	for _, d := range b.Documents {
+		if d.Revision <= last || d.Key == "" {
+			return Page{}, ErrOrder
+		}
+		last = d.Revision
+		p := core.Published{Key: d.Key, Revision: d.Revision}
+		if d.Value != nil {
+			p.Value = []byte(*d.Value)
+		}
+		page.Documents = append(page.Documents, p)
+	}
+	page.Upto = max(page.Upto, last)
+	return page, nil
+}
+
+type instancesBody struct {
+	Instances []struct {
+		ID         ids.Instance   `json:"id"`
+		DataCentre ids.DataCentre `json:"data_centre"`
+		PeerAddr   string         `json:"peer_addr"`
+		Leaving    bool           `json:"leaving"`
+	} `json:"instances"`
+}
+
+// Instances reads the list of live and leaving instances. Entries without a
+// name or a valid address are left out; invalid counts them.
+func (c *Client) Instances(ctx context.Context) (list []core.ListedInstance, invalid int, err error) {
+	var body instancesBody
+	if err := c.get(ctx, "/v1/instances", ReadTimeout, &body); err != nil {
+		return nil, 0, eris.Wrap(err, "read instances")
+	}
+	if len(body.Instances) > maxInstances {
+		return nil, 0, ErrTooLarge
+	}
+	for _, i := range body.Instances {
+		if _, err := netip.ParseAddrPort(i.PeerAddr); err != nil || i.ID == "" || i.DataCentre == "" {
+			invalid++
+			continue
+		}
+		list = append(list, core.ListedInstance{ID: i.ID, DataCentre: i.DataCentre, PeerAddr: i.PeerAddr, Leaving: i.Leaving})
+	}
+	return list, invalid, nil
+}
+
+// get repeats one call until it succeeds, at most attempts times.
+func (c *Client) get(ctx context.Context, path string, timeout time.Duration, body any) error {
+	var err error
+	for n := range attempts {
+		if n > 0 && !c.pause(ctx, backoffMin<<n) {
+			break
+		}
+		if err = c.try(ctx, path, timeout, body); err == nil || errors.Is(err, ErrTooLarge) {
+			return err
+		}
+	}
+	return err
+}
+
+// pause waits between half of d and d, so that instances that failed together
+// do not retry together. It reports false when ctx has ended.
+func (c *Client) pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d/2 + time.Duration(c.rand()*float64(d/2)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (c *Client) try(ctx context.Context, path string, timeout time.Duration, body any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		return eris.Wrap(err, "platform: build request")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return eris.Wrapf(err, "platform %s", c.base)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return eris.Errorf("platform %s: status %d", c.base, response.StatusCode)
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, MaxBody+1))
+	if err != nil {
+		return eris.Wrapf(err, "platform %s: read body", c.base)
+	}
+	if len(data) > MaxBody {
+		return ErrTooLarge
+	}
+	return eris.Wrapf(json.Unmarshal(data, body), "platform %s: decode body", c.base)
+}
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,91 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"arbutusdock.example/arbutusdock/internal/core"
+	"arbutusdock.example/arbutusdock/internal/ids"
+)
+
+func serve(t *testing.T, h http.HandlerFunc) *Client {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return New(s.URL, func() float64 { return 0 })
+}
+
+// Guards against a request or a page that differs from section 3.7, and a
+// deleted document that arrives as an empty one.
+func TestDocuments(t *testing.T) {
+	var query string
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		query = r.URL.RequestURI()
+		_, _ = io.WriteString(w, `{"upto":9,"more":true,"documents":[{"key":"service/x","revision":4,"value":"a"},{"key":"profile/y","revision":5,"value":null}]}`)
+	})
+	page, err := c.Documents(context.Background(), 3, true)
+	assert.NilError(t, err)
+	assert.Equal(t, query, "/v1/documents?after=3&wait=30")
+	assert.DeepEqual(t, page, Page{Upto: 9, More: true, Documents: []core.Published{
+		{Key: "service/x", Revision: 4, Value: []byte("a")}, {Key: "profile/y", Revision: 5}}})
+}
+
+// Guards against a call that gives up at the first failure.
+func TestRetries(t *testing.T) {
+	calls := 0
+	c := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		if calls++; calls < attempts {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		_, _ = io.WriteString(w, `{"upto":1}`)
+	})
+	_, err := c.Documents(context.Background(), 0, false)
+	assert.NilError(t, err)
+	assert.Equal(t, calls, attempts)
+}
+
+// Guards against bad responses that are accepted or read without limit.
+func TestBadResponses(t *testing.T) {
+	for name, body := range map[string]string{
+		"no JSON":       `upto`,
+		"out of order":  `{"upto":9,"documents":[{"key":"a","revision":5},{"key":"b","revision":4}]}`,
+		"old document":  `{"upto":9,"documents":[{"key":"a","revision":2}]}`,
+		"no key":        `{"upto":9,"documents":[{"key":"","revision":5}]}`,
+		"negative":      `{"upto":-1}`,
+		"endless value": `{"upto":1,"documents":[{"key":"a","revision":5,"value":"` + strings.Repeat("x", MaxBody) + `"}]}`,
+	} {
+		c := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) })
+		_, err := c.Documents(context.Background(), 3, false)
+		assert.Assert(t, err != nil, name)
+	}
+}
+
+// Guards against a platform that accepts connections but never answers.
+func TestSilentPlatform(t *testing.T) {
+	release := make(chan struct{})
+	c := serve(t, func(http.ResponseWriter, *http.Request) { <-release })
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, _, err := c.Instances(ctx)
+	close(release)
+	assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
+}
+
+// Guards against one bad entry that hides the rest of the list.
+func TestInstances(t *testing.T) {
+	c := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"instances":[{"id":"a","data_centre":"x","peer_addr":"127.0.0.1:1","caller_ip":"127.0.0.1","leaving":true},{"id":"b","data_centre":"x","peer_addr":"nowhere"}]}`)
+	})
+	list, invalid, err := c.Instances(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, invalid, 1)
+	assert.DeepEqual(t, list, []core.ListedInstance{{ID: ids.Instance("a"), DataCentre: "x", PeerAddr: "127.0.0.1:1", Leaving: true}})
+}
--- /dev/null
+++ b/internal/telemetry/log.go
@@ -0,0 +1,35 @@
+// Package telemetry sets up logging, metrics and traces. Logs are key=value
+// lines on an io.Writer; metrics are expvar variables whose names end in their
+// unit; traces are OpenTelemetry spans, one for each hop of a sampled request.
+package telemetry
+
+import (
+	"io"
+	"log/slog"
+	"strings"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
+)
+
+// NewLogger returns a logger that writes one key=value line for each event.
+func NewLogger(w io.Writer, level slog.Leveler, instance ids.Instance) *slog.Logger {
+	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})).With("instance", string(instance))
+}
+
+// Details splits the key=value words of a log detail into arguments for slog.
+// A word without "=" joins the value before it.
+func Details(detail string) []any {
+	var args []any
+	for word := range strings.FieldsSeq(detail) {
+		key, value, ok := strings.Cut(word, "=")
+		switch {
+		case ok && key != "":
+			args = append(args, key, value)
+		case len(args) > 0:
+			args[len(args)-1] = args[len(args)-1].(string) + " " + word
+		default:
+			args = append(args, "detail", word)
+		}
+	}
+	return args
+}
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,71 @@
+package telemetry
+
+import (
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"net/http"
+	"sync"
+
+	"arbutusdock.example/arbutusdock/internal/ring"
+)
+
+// Registry holds the metrics of one daemon. The variables are those of expvar
+// but are not published globally, so that several daemons fit in one process.
+type Registry struct {
+	vars expvar.Map
+	mu   sync.Mutex
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	r := &Registry{}
+	r.vars.Init()
+	return r
+}
+
+// Counter returns the counter with this name and creates it at the first
+// call. The name ends in its unit, such as _total or _bytes_total.
+func (r *Registry) Counter(name string) *expvar.Int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v, ok := r.vars.Get(name).(*expvar.Int); ok {
+		return v
+	}
+	v := new(expvar.Int)
+	r.vars.Set(name, v)
+	return v
+}
+
+// Gauge registers f as the value of name.
+func (r *Registry) Gauge(name string, f func() any) { r.vars.Set(name, expvar.Func(f)) }
+
+// Ring registers the counters of one ring under its name.
+func (r *Registry) Ring(name string, stats func() ring.Stats) {
+	r.Gauge("ring_"+name+"_depth_entries", func() any { return stats().Depth })
+	r.Gauge("ring_"+name+"_peak_entries", func() any { return stats().Peak })
+	r.Gauge("ring_"+name+"_capacity_entries", func() any { return stats().Capacity })
+	r.Gauge("ring_"+name+"_dropped_total", func() any { return stats().Dropped })
+}
+
+// RemoveRing removes the counters of a ring that no longer exists.
+func (r *Registry) RemoveRing(name string) {
+	for _, suffix := range []string{"_depth_entries", "_peak_entries", "_capacity_entries", "_dropped_total"} {
+		r.vars.Delete("ring_" + name + suffix)
+	}
+}
+
+// ServeHTTP writes the metrics of the daemon and the global ones of the
+// process (cmdline, memstats) as one JSON object in the format of expvar.
+func (r *Registry) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	separator := "{\n"
+	write := func(kv expvar.KeyValue) {
+		name, _ := json.Marshal(kv.Key) // a string always encodes
+		_, _ = fmt.Fprintf(w, "%s%s: %s", separator, name, kv.Value)
+		separator = ",\n"
+	}
+	r.vars.Do(write)
+	expvar.Do(write)
+	_, _ = fmt.Fprint(w, "\n}\n")
+}
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,81 @@
+package telemetry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"gotest.tools/v3/assert"
+
+	"arbutusdock.example/arbutusdock/internal/ring"
+)
+
+// Guards against log lines that are not one line of key=value words.
+func TestLogLine(t *testing.T) {
+	var out bytes.Buffer
+	log := NewLogger(&out, slog.LevelInfo, "a1")
+	log.Info("config_applied", Details("revision=7 reason=two words")...)
+	log.Debug("hidden")
+	line := out.String()
+	assert.Equal(t, strings.Count(line, "\n"), 1)
+	assert.Assert(t, strings.HasSuffix(line, `msg=config_applied instance=a1 revision=7 reason="two words"`+"\n"), line)
+}
+
+// Guards against metrics that are missing from the page or break its JSON.
+func TestRegistryPage(t *testing.T) {
+	r := NewRegistry()
+	r.Counter("callers_total").Add(2)
+	r.Counter("callers_total").Add(1)
+	q := ring.New[int](4)
+	q.Push(1)
+	r.Ring("caller", q.Stats)
+	w := httptest.NewRecorder()
+	r.ServeHTTP(w, nil)
+	var page map[string]any
+	assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &page))
+	assert.Equal(t, page["callers_total"], 3.0)
+	assert.Equal(t, page["ring_caller_depth_entries"], 1.0)
+	assert.Assert(t, page["memstats"] != nil)
+}
+
+// Guards against hops of one request in different traces, and against a
+// sampling share that is not kept.
+func TestSpans(t *testing.T) {
+	spans := tracetest.NewSpanRecorder()
+	tr := newTracer(spans, 0.25, "a1", 9)
+	sampled := 0
+	for i := range uint64(4000) {
+		if tr.Sampled(i) {
+			sampled++
+		}
+		tr.Record(Hop{Name: "received", Request: i, Start: time.Unix(1, 0), Duration: time.Second})
+		tr.Record(Hop{Name: "answered", Request: i, Service: "counter", Target: "t1", Start: time.Unix(2, 0)})
+	}
+	assert.Assert(t, sampled > 850 && sampled < 1150, "%d of 4000", sampled)
+	ended := spans.Ended()
+	assert.Equal(t, len(ended), 2*sampled)
+	assert.Equal(t, ended[0].SpanContext().TraceID(), ended[1].SpanContext().TraceID())
+	assert.Equal(t, ended[0].EndTime().Sub(ended[0].StartTime()), time.Second)
+	assert.NilError(t, tr.Close(context.Background()))
+}
+
+// Guards against an exporter that loses buffered spans at the end, and a
+// disabled tracer that records.
+func TestExporter(t *testing.T) {
+	var out bytes.Buffer
+	tr, err := NewTracer(&out, 1, "a1", 9)
+	assert.NilError(t, err)
+	tr.Record(Hop{Name: "received", Request: 1, Start: time.Unix(1, 0)})
+	assert.NilError(t, tr.Close(context.Background()))
+	assert.Assert(t, strings.Contains(out.String(), `"Name":"received"`))
+	off, err := NewTracer(nil, 1, "a1", 9)
+	assert.NilError(t, err)
+	assert.Assert(t, !off.Sampled(1))
+	assert.NilError(t, off.Close(context.Background()))
+}
