Add links between instances and the key material of a fleet

Cause: peer messages need an authenticated transport whose control traffic stays within its budget and that recovers from silent connections. Change: internal/link has a control and a data lane for each peer over WebSocket with mutual TLS 1.3, bounded queues, an enforced byte budget, probes for silent connections, jittered redials and idle closing. internal/keys creates the fleet CA, instance certificates and admission keys as files.

--- /dev/null
+++ b/internal/keys/keys.go
@@ -0,0 +1,194 @@
+// Package keys creates and reads the key material of a fleet: the fleet CA,
+// instance certificates and admission keys, each in files.
+package keys
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/hex"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"math/big"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
+)
+
+const (
+	// AdmissionKeyBytes is the length of an admission key (HMAC-SHA-256).
+	AdmissionKeyBytes = 32
+	// clockSkew is allowed between the machine that issues a certificate and
+	// those that verify it.
+	clockSkew = 5 * time.Minute
+
+	certificateBlock = "CERTIFICATE"
+	keyBlock         = "PRIVATE KEY"
+	maxKeyFile       = 4096 // bytes
+)
+
+// CA is a fleet CA.
+type CA struct {
+	certificate *x509.Certificate
+	key         ed25519.PrivateKey
+}
+
+// CreateCA writes ca.crt and ca.key to dir. It refuses to replace files.
+func CreateCA(dir, name string, validity time.Duration) (*CA, error) {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return nil, eris.Wrap(err, "create CA key")
+	}
+	template, err := newTemplate(name, validity)
+	if err != nil {
+		return nil, err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.MaxPathLenZero = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, public, private)
+	if err != nil {
+		return nil, eris.Wrap(err, "create CA certificate")
+	}
+	if err := writePair(dir, "ca", der, private); err != nil {
+		return nil, err
+	}
+	return LoadCA(dir)
+}
+
+// LoadCA reads ca.crt and ca.key from dir.
+func LoadCA(dir string) (*CA, error) {
+	der, err := readBlock(filepath.Join(dir, "ca.crt"), certificateBlock)
+	if err != nil {
+		return nil, err
+	}
+	certificate, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, eris.Wrap(err, "parse CA certificate")
+	}
+	if der, err = readBlock(filepath.Join(dir, "ca.key"), keyBlock); err != nil {
+		return nil, err
+	}
+	key, err := x509.ParsePKCS8PrivateKey(der)
+	if err != nil {
+		return nil, eris.Wrap(err, "parse CA key")
+	}
+	private, ok := key.(ed25519.PrivateKey)
+	if !ok || !private.Public().(ed25519.PublicKey).Equal(certificate.PublicKey) {
+		return nil, eris.Errorf("read CA: ca.key in %s does not belong to ca.crt", dir)
+	}
+	return &CA{certificate: certificate, key: private}, nil
+}
+
+// Issue writes the certificate and key of an instance to dir, as <id>.crt and
+// <id>.key.
+func (ca *CA) Issue(dir string, id ids.Instance, validity time.Duration) error {
+	if !validName(string(id)) {
+		return eris.Errorf("issue certificate: %q must be letters, digits, '.', '-' or '_'", id)
+	}
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return eris.Wrap(err, "create instance key")
+	}
+	template, err := newTemplate(string(id), validity)
+	if err != nil {
+		return err
+	}
+	template.DNSNames = []string{string(id)}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, template, ca.certificate, public, ca.key)
+	if err != nil {
+		return eris.Wrapf(err, "create certificate of %s", id)
+	}
+	return writePair(dir, string(id), der, private)
+}
+
+func validName(name string) bool {
+	bad := func(c rune) bool {
+		return (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && (c < '0' || c > '9') && !strings.ContainsRune(".-_", c)
+	}
+	return name != "" && len(name) <= 64 && strings.Trim(name, ".") == name && !strings.ContainsFunc(name, bad)
+}
+
+func newTemplate(name string, validity time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 127))
+	if err != nil {
+		return nil, eris.Wrap(err, "draw serial number")
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-clockSkew),
+		NotAfter:     now.Add(validity),
+	}, nil
+}
+
+func writePair(dir, name string, der []byte, private ed25519.PrivateKey) error {
+	key, err := x509.MarshalPKCS8PrivateKey(private)
+	if err != nil {
+		return eris.Wrap(err, "encode key")
+	}
+	if err := create(filepath.Join(dir, name+".key"), pem.EncodeToMemory(&pem.Block{Type: keyBlock, Bytes: key}), 0o600); err != nil {
+		return err
+	}
+	return create(filepath.Join(dir, name+".crt"), pem.EncodeToMemory(&pem.Block{Type: certificateBlock, Bytes: der}), 0o644)
+}
+
+// create writes a new file. It never replaces one: a lost CA or admission key
+// invalidates what was issued under it.
+func create(path string, data []byte, mode os.FileMode) error {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
+	if err != nil {
+		return eris.Wrap(err, "create key file")
+	}
+	_, err = f.Write(data)
+	return eris.Wrapf(errors.Join(err, f.Close()), "write %s", path)
+}
+
+func readBlock(path, kind string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "read key file")
+	}
+	block, _ := pem.Decode(data)
+	if block == nil || block.Type != kind {
+		return nil, eris.Errorf("read %s: no PEM block of type %s", path, kind)
+	}
+	return block.Bytes, nil
+}
+
+// CreateAdmissionKey writes a new admission key to dir as admission-<id>.key,
+// 64 hexadecimal digits.
+func CreateAdmissionKey(dir string, id uint8) error {
+	key := make([]byte, AdmissionKeyBytes)
+	if _, err := rand.Read(key); err != nil {
+		return eris.Wrap(err, "draw admission key")
+	}
+	return create(filepath.Join(dir, fmt.Sprintf("admission-%d.key", id)), []byte(hex.EncodeToString(key)+"\n"), 0o600)
+}
+
+// LoadAdmissionKey reads an admission key file.
+func LoadAdmissionKey(path string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "read admission key")
+	}
+	if len(data) > maxKeyFile {
+		return nil, eris.Errorf("read admission key: %s is larger than %d bytes", path, maxKeyFile)
+	}
+	key, err := hex.DecodeString(strings.TrimSpace(string(data)))
+	if err != nil || len(key) != AdmissionKeyBytes {
+		return nil, eris.Errorf("read admission key: %s must hold %d hexadecimal digits", path, 2*AdmissionKeyBytes)
+	}
+	return key, nil
+}
--- /dev/null
+++ b/internal/keys/keys_test.go
@@ -0,0 +1,51 @@
+package keys
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a second run that replaces a CA, a certificate or a key.
+func TestNeverReplaces(t *testing.T) {
+	dir := t.TempDir()
+	ca, err := CreateCA(dir, "fleet", time.Hour)
+	assert.NilError(t, err)
+	assert.NilError(t, ca.Issue(dir, "a1", time.Hour))
+	assert.NilError(t, CreateAdmissionKey(dir, 1))
+	_, err = CreateCA(dir, "fleet", time.Hour)
+	assert.ErrorIs(t, err, os.ErrExist)
+	assert.ErrorIs(t, ca.Issue(dir, "a1", time.Hour), os.ErrExist)
+	assert.ErrorIs(t, CreateAdmissionKey(dir, 1), os.ErrExist)
+}
+
+// Guards against key files that other users can read, and names that leave
+// the directory.
+func TestFiles(t *testing.T) {
+	dir := t.TempDir()
+	ca, err := CreateCA(dir, "fleet", time.Hour)
+	assert.NilError(t, err)
+	assert.Assert(t, ca.Issue(dir, "../x", time.Hour) != nil)
+	assert.Assert(t, ca.Issue(dir, "", time.Hour) != nil)
+	info, err := os.Stat(filepath.Join(dir, "ca.key"))
+	assert.NilError(t, err)
+	assert.Equal(t, info.Mode().Perm(), os.FileMode(0o600))
+}
+
+// Guards against short, long or garbled admission keys that are used.
+func TestLoadAdmissionKey(t *testing.T) {
+	dir := t.TempDir()
+	assert.NilError(t, CreateAdmissionKey(dir, 7))
+	key, err := LoadAdmissionKey(filepath.Join(dir, "admission-7.key"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(key), AdmissionKeyBytes)
+	bad := filepath.Join(dir, "bad")
+	for _, text := range []string{"", "00", "zz", string(make([]byte, maxKeyFile+1))} {
+		assert.NilError(t, os.WriteFile(bad, []byte(text), 0o600))
+		_, err := LoadAdmissionKey(bad)
+		assert.Assert(t, err != nil, "%q", text)
+	}
+}
--- /dev/null
+++ b/internal/link/budget.go
@@ -0,0 +1,87 @@
+package link
+
+import (
+	"sync"
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/peerwire"
+)
+
+// overhead is what one message costs on the wire beyond its own bytes: a TLS
+// 1.3 record (5 header, 1 type, 16 tag) and a WebSocket header with mask (8).
+const overhead = 30
+
+// handshakeBytes is what the dialling side sends for one TLS handshake with a
+// client certificate and the WebSocket upgrade.
+const handshakeBytes = 1500
+
+// burst is the time for which unused budget is saved up.
+const burst = 2 * time.Second
+
+// Budget enforces the bytes a second that the control lanes of all links of
+// one instance may use together. Heartbeats have precedence, so that a large
+// configuration delta cannot delay them until peers suspect this instance:
+// they may use the whole rate even while a bulk message is being paid off.
+// A bulk message is sent when nothing is owed, and its size is owed then.
+type Budget struct {
+	mu     sync.Mutex
+	rate   float64 // bytes a second
+	urgent float64 // bytes that heartbeats may use now
+	total  float64 // bytes that bulk messages may use now; negative: owed
+	last   time.Time
+}
+
+// NewBudget returns a budget of rate bytes a second.
+func NewBudget(rate int) *Budget {
+	full := float64(rate) * burst.Seconds()
+	return &Budget{rate: float64(rate), urgent: full, total: full}
+}
+
+// urgentMessage reports whether m is delayed by no bulk message.
+func urgentMessage(m *peerwire.Message) bool { return m.Heartbeat != nil }
+
+// Take asks to send a control message of size bytes at now. When it may not
+// be sent yet, wait is the time after which to ask again.
+func (b *Budget) Take(now time.Time, size int, urgent bool) (wait time.Duration, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	cost := float64(size + overhead)
+	have := b.total
+	if urgent {
+		have = b.urgent - cost
+	}
+	if have < 0 {
+		return time.Duration(-have / b.rate * float64(time.Second)), false
+	}
+	b.total -= cost
+	if urgent {
+		b.urgent -= cost
+	}
+	return 0, true
+}
+
+// Charge records size bytes that were sent without asking.
+func (b *Budget) Charge(size int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.total -= float64(size)
+}
+
+func (b *Budget) refill(now time.Time) {
+	if b.last.IsZero() || now.Before(b.last) {
+		b.last = now
+		return
+	}
+	gained := b.rate * now.Sub(b.last).Seconds()
+	full := b.rate * burst.Seconds()
+	b.urgent, b.total = min(b.urgent+gained, full), min(b.total+gained, full)
+	b.last = now
+}
+
+// Owed returns the bytes that are still to be paid off.
+func (b *Budget) Owed() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return int(max(-b.total, 0))
+}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,316 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"net"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
+	"arbutusdock.example/arbutusdock/internal/keys"
+	"arbutusdock.example/arbutusdock/internal/peerwire"
+	"arbutusdock.example/arbutusdock/internal/telemetry"
+)
+
+// fleet is a CA and an address book of managers on loopback.
+type fleet struct {
+	t   testing.TB
+	dir string
+	ca  *keys.CA
+
+	mu   sync.Mutex
+	book map[ids.Instance]string
+}
+
+func newFleet(t testing.TB) *fleet {
+	dir := t.TempDir()
+	ca, err := keys.CreateCA(dir, "fleet", time.Hour)
+	assert.NilError(t, err)
+	return &fleet{t: t, dir: dir, ca: ca, book: map[ids.Instance]string{}}
+}
+
+func (f *fleet) credentials(id ids.Instance) Credentials {
+	assert.NilError(f.t, f.ca.Issue(f.dir, id, time.Hour))
+	c, err := LoadCredentials(id, filepath.Join(f.dir, "ca.crt"), filepath.Join(f.dir, string(id)+".crt"), filepath.Join(f.dir, string(id)+".key"))
+	assert.NilError(f.t, err)
+	return c
+}
+
+func (f *fleet) address(id ids.Instance) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a, ok := f.book[id]
+	return a, ok
+}
+
+func (f *fleet) set(id ids.Instance, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.book[id] = address
+}
+
+func (f *fleet) start(id ids.Instance, change func(*Config)) (*Manager, chan *peerwire.Message) {
+	got := make(chan *peerwire.Message, 1<<16)
+	config := Config{Self: id, Credentials: f.credentials(id), Budget: 1 << 20, Queue: 4096, DataIdle: time.Minute,
+		Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewRegistry(), Address: f.address,
+		Receive: func(m *peerwire.Message) { got <- m }}
+	if change != nil {
+		change(&config)
+	}
+	m := New(config)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(f.t, err)
+	f.set(id, l.Addr().String())
+	go func() { _ = m.Serve(l) }()
+	f.t.Cleanup(m.Close)
+	return m, got
+}
+
+func relay(from ids.Instance, n byte) *peerwire.Message {
+	return &peerwire.Message{From: from, Relay: &peerwire.Relay{Service: "s", Caller: "127.0.0.1:1", Datagram: []byte{n}, Hops: 1}}
+}
+
+func heartbeat(from ids.Instance, seq uint64) *peerwire.Message {
+	return &peerwire.Message{From: from, Heartbeat: &peerwire.Heartbeat{Seq: seq}}
+}
+
+func receive(t testing.TB, got chan *peerwire.Message) *peerwire.Message {
+	t.Helper()
+	select {
+	case m := <-got:
+		return m
+	case <-time.After(5 * time.Second):
+		t.Fatal("no message within 5 s")
+		return nil
+	}
+}
+
+// Guards against messages that are lost, reordered or sent on the wrong lane,
+// and against a second connection when the peer answers.
+func TestBothLanesBothWays(t *testing.T) {
+	f := newFleet(t)
+	a, gotA := f.start("a", nil)
+	b, gotB := f.start("b", nil)
+	for i := range byte(100) {
+		assert.Assert(t, a.Send("b", relay("a", i)))
+	}
+	for i := range byte(100) {
+		assert.DeepEqual(t, receive(t, gotB).Relay.Datagram, []byte{i})
+	}
+	assert.Assert(t, b.Send("a", relay("b", 1)) && b.Send("a", heartbeat("b", 1)))
+	receive(t, gotA)
+	receive(t, gotA)
+	assert.Equal(t, a.Open(), 2)
+	assert.Equal(t, a.counts.dials.Value()+b.counts.dials.Value(), int64(2))
+}
+
+// Guards against a listener or peer whose certificate names another instance,
+// and one from another fleet.
+func TestWrongCertificate(t *testing.T) {
+	f := newFleet(t)
+	_, got := f.start("b", nil)
+	address, _ := f.address("b")
+	f.set("c", address) // the listener at this address is b
+	a, _ := f.start("a", nil)
+	a.Send("c", relay("a", 1))
+	a.Send("b", relay("x", 2)) // the message claims another sender
+	stranger := newFleet(t)
+	s, _ := stranger.start("a", nil)
+	stranger.set("b", address)
+	s.Send("b", relay("a", 3))
+	a.Send("b", relay("a", 4))
+	assert.DeepEqual(t, receive(t, got).Relay.Datagram, []byte{4})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if a.counts.dialFailures.Value() > 0 && s.counts.dialFailures.Value() > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("dials still succeed or wait")
+	})
+	assert.Equal(t, len(got), 0)
+	_, err := LoadCredentials("z", filepath.Join(f.dir, "ca.crt"), filepath.Join(f.dir, "a.crt"), filepath.Join(f.dir, "a.key"))
+	assert.ErrorContains(t, err, `issued to "a" instead of "z"`)
+}
+
+// Guards against a peer that cannot be reached again after its restart.
+func TestReconnect(t *testing.T) {
+	f := newFleet(t)
+	a, _ := f.start("a", nil)
+	b, got := f.start("b", nil)
+	a.Send("b", relay("a", 1))
+	receive(t, got)
+	b.Close()
+	credentials := b.config.Credentials
+	again := New(Config{Self: "b", Credentials: credentials, Budget: 1, Queue: 1, Log: slog.New(slog.DiscardHandler),
+		Metrics: telemetry.NewRegistry(), Address: f.address, Receive: b.config.Receive})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f.set("b", l.Addr().String())
+	go func() { _ = again.Serve(l) }()
+	t.Cleanup(again.Close)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		a.Send("b", relay("a", 2))
+		if len(got) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("not reconnected")
+	}, poll.WithDelay(50*time.Millisecond), poll.WithTimeout(8*time.Second))
+}
+
+// Guards against a connection that has gone silent and is used for ever.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	f := newFleet(t)
+	_, got := f.start("b", nil)
+	address, _ := f.address("b")
+	proxy, mute := startProxy(t, address)
+	f.set("b", proxy)
+	a, _ := f.start("a", nil)
+	a.Send("b", relay("a", 1))
+	receive(t, got)
+	mute()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		a.Send("b", relay("a", 2))
+		if len(got) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("still silent")
+	}, poll.WithDelay(50*time.Millisecond), poll.WithTimeout(8*time.Second))
+	assert.Equal(t, a.counts.silent.Value(), int64(1))
+}
+
+// Guards against data links that stay open for ever.
+func TestIdleDataLaneCloses(t *testing.T) {
+	f := newFleet(t)
+	_, got := f.start("b", nil)
+	a, _ := f.start("a", func(c *Config) { c.DataIdle = 300 * time.Millisecond })
+	a.Send("b", relay("a", 1))
+	receive(t, got)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if len(a.lanes) == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("%d lanes", len(a.lanes))
+	}, poll.WithTimeout(5*time.Second))
+}
+
+// Guards against hostile peers: bad CBOR, text frames, oversized messages and
+// a control message on the data lane end no process and reach no one.
+func TestMalformedMessagesAreCounted(t *testing.T) {
+	f := newFleet(t)
+	b, got := f.start("b", nil)
+	a, _ := f.start("a", nil)
+	a.Send("b", relay("a", 1))
+	receive(t, got)
+	c := a.lanes[laneKey{"b", peerwire.Data}].current()
+	misplaced, err := peerwire.Encode(nil, heartbeat("a", 1))
+	assert.NilError(t, err)
+	ctx := context.Background()
+	assert.NilError(t, c.ws.Write(ctx, websocket.MessageBinary, bytes.Repeat([]byte{0x81}, 100)))
+	assert.NilError(t, c.ws.Write(ctx, websocket.MessageText, []byte("text")))
+	assert.NilError(t, c.ws.Write(ctx, websocket.MessageBinary, misplaced))
+	a.Send("b", relay("a", 2))
+	assert.DeepEqual(t, receive(t, got).Relay.Datagram, []byte{2})
+	assert.Equal(t, b.counts.malformed.Value(), int64(3))
+	_ = c.ws.Write(ctx, websocket.MessageBinary, make([]byte, peerwire.MaxMessage+1))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		a.Send("b", relay("a", 3))
+		if len(got) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("not reconnected")
+	}, poll.WithTimeout(5*time.Second))
+}
+
+// Guards against a control budget that is exceeded, unused, or that lets bulk
+// messages delay heartbeats.
+func TestBudget(t *testing.T) {
+	const rate = 2048
+	b, now := NewBudget(rate), time.Unix(100, 0)
+	_, ok := b.Take(now, 64<<10, false)
+	assert.Assert(t, ok)
+	sent := 0
+	for range 1000 { // 10 s of a heartbeat of 100 bytes every 100 ms and bulk whenever allowed
+		now = now.Add(10 * time.Millisecond)
+		if now.UnixMilli()%100 == 0 {
+			_, ok := b.Take(now, 100-overhead, true)
+			assert.Assert(t, ok, "heartbeat delayed")
+			sent += 100
+		}
+		if _, ok := b.Take(now, 1000-overhead, false); ok {
+			sent += 1000
+		}
+	}
+	assert.Equal(t, sent, 10000, "bulk sent while 64 KiB are owed")
+	for range 6000 {
+		now = now.Add(10 * time.Millisecond)
+		if _, ok := b.Take(now, 1000-overhead, false); ok {
+			sent += 1000
+		}
+	}
+	total := float64(sent + 64<<10)
+	allowed := rate * (burst.Seconds() + 70)
+	assert.Assert(t, total <= allowed+1000 && total > allowed-2000, "%v of %v bytes", total, allowed)
+}
+
+// startProxy forwards TCP to target. mute makes present connections silent
+// without closing them.
+func startProxy(t testing.TB, target string) (address string, mute func()) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var mu sync.Mutex
+	var muted []chan struct{}
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = in.Close()
+				continue
+			}
+			t.Cleanup(func() { _ = in.Close(); _ = out.Close() })
+			stop := make(chan struct{})
+			mu.Lock()
+			muted = append(muted, stop)
+			mu.Unlock()
+			go pipe(in, out, stop)
+			go pipe(out, in, stop)
+		}
+	}()
+	t.Cleanup(func() { _ = l.Close() })
+	return l.Addr().String(), func() {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range muted {
+			close(c)
+		}
+		muted = nil
+	}
+}
+
+func pipe(from, to net.Conn, stop chan struct{}) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		select {
+		case <-stop: // swallows the data
+		default:
+			_, _ = to.Write(buf[:n])
+		}
+	}
+}
