--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -70,8 +70,10 @@
 // Page is one page of publications.
 type Page struct {
 	Documents []core.Published
-	Upto      ids.Revision
-	More      bool // further documents follow after the last of this page
+	// Upto is the revision up to which the page is complete. It is lower than
+	// the revision asked for when the platform is stale.
+	Upto ids.Revision
+	More bool // further documents follow after Upto
 }
 
 type documentsBody struct {
@@ -119,7 +121,10 @@
 		}
 		page.Documents = append(page.Documents, p)
 	}
-	page.Upto = max(page.Upto, last)
+	if b.More && len(page.Documents) > 0 {
+		// What follows is unknown, so the state is complete only up to here.
+		page.Upto = last
+	}
 	return page, nil
 }
 
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -22,8 +22,9 @@
 	return New(s.URL, func() float64 { return 0 })
 }
 
-// Guards against a request or a page that differs from section 3.7, and a
-// deleted document that arrives as an empty one.
+// Guards against a request or a page that differs from section 3.7, a deleted
+// document that arrives as an empty one, and documents that are skipped because
+// the revision of an incomplete page is taken for complete.
 func TestDocuments(t *testing.T) {
 	var query string
 	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
@@ -33,10 +34,18 @@
 	page, err := c.Documents(context.Background(), 3, true)
 	assert.NilError(t, err)
 	assert.Equal(t, query, "/v1/documents?after=3&wait=30")
-	assert.DeepEqual(t, page, Page{Upto: 9, More: true, Documents: []core.Published{
+	assert.DeepEqual(t, page, Page{Upto: 5, More: true, Documents: []core.Published{
 		{Key: "service/x", Revision: 4, Value: []byte("a")}, {Key: "profile/y", Revision: 5}}})
 }
 
+// Guards against a stale platform that looks up to date.
+func TestStale(t *testing.T) {
+	c := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"upto":2,"documents":[]}`) })
+	page, err := c.Documents(context.Background(), 3, false)
+	assert.NilError(t, err)
+	assert.Equal(t, page.Upto, ids.Revision(2))
+}
+
 // Guards against a call that gives up at the first failure.
 func TestRetries(t *testing.T) {
 	calls := 0
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,7 +20,7 @@
 	DataCentre ids.DataCentre
 	RandomSeed *uint64 // fixed seed for tests; nil draws one at start
 
-	ServiceIP     netip.Addr     // address of the service sockets; unspecified takes that of the service document
+	ServiceIP     netip.Addr     // address of services whose document names none
 	BackendIP     netip.Addr     // source address towards backend servers
 	PeerListen    netip.AddrPort // link listener
 	PeerAdvertise netip.AddrPort // address under which other instances reach the link listener
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -79,3 +79,27 @@
 	assert.Assert(t, !off.Sampled(1))
 	assert.NilError(t, off.Close(context.Background()))
 }
+
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) { <-s.release; return len(p), nil }
+
+// Guards against a log stream that nobody reads and that stops the daemon, and
+// against lines lost at the end.
+func TestWriterNeverBlocks(t *testing.T) {
+	s := stuck{release: make(chan struct{})}
+	w := NewWriter(s, 4)
+	for range 100 {
+		_, _ = w.Write([]byte("line\n"))
+	}
+	assert.Assert(t, w.Stats().Dropped >= 95)
+	close(s.release)
+	w.Close()
+	var out bytes.Buffer
+	w = NewWriter(&out, 16)
+	for range 10 {
+		_, _ = w.Write([]byte("line\n"))
+	}
+	w.Close()
+	assert.Equal(t, strings.Count(out.String(), "line\n"), 10)
+}
