--- /dev/null
+++ b/internal/share/maxmin.go
@@ -0,0 +1,48 @@
+package share
+
+import (
+	"slices"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
+)
+
+// MaxMin returns the weighted max-min fair allocation of capacity: no partner
+// gets more than its demand, and what one leaves is divided among the others
+// in proportion to their weights. capacity and demand are in the same unit. A
+// partner without a weight counts as 1.
+func MaxMin(capacity float64, demand map[ids.Partner]float64, weight map[ids.Partner]uint32) map[ids.Partner]float64 {
+	type claim struct {
+		name           ids.Partner
+		demand, weight float64
+	}
+	claims := make([]claim, 0, len(demand))
+	total := 0.0
+	for name, d := range demand {
+		w := float64(max(weight[name], 1))
+		claims = append(claims, claim{name, max(d, 0), w})
+		total += w
+	}
+	// Served in order of demand per weight, each partner gets its demand or an
+	// equal share per weight of what is left, whichever is less.
+	slices.SortFunc(claims, func(a, b claim) int {
+		switch l, r := a.demand*b.weight, b.demand*a.weight; {
+		case l < r:
+			return -1
+		case l > r:
+			return 1
+		}
+		if a.name < b.name {
+			return -1
+		}
+		return 1
+	})
+	result := make(map[ids.Partner]float64, len(claims))
+	left := max(capacity, 0)
+	for _, c := range claims {
+		got := min(c.demand, left*c.weight/total)
+		result[c.name] = got
+		left -= got
+		total -= c.weight
+	}
+	return result
+}
--- /dev/null
+++ b/internal/share/ring.go
@@ -0,0 +1,54 @@
+package share
+
+// ring is a first-in first-out queue that grows by doubling and keeps its
+// memory. Its capacity is a power of two.
+type ring[T any] struct {
+	buf  []entry[T]
+	head int
+	n    int
+}
+
+func (r *ring[T]) len() int { return r.n }
+
+func (r *ring[T]) at(i int) *entry[T] { return &r.buf[(r.head+i)&(len(r.buf)-1)] }
+
+func (r *ring[T]) push(e entry[T]) {
+	if r.n == len(r.buf) {
+		grown := make([]entry[T], max(8, 2*len(r.buf)))
+		for i := range r.n {
+			grown[i] = *r.at(i)
+		}
+		r.buf, r.head = grown, 0
+	}
+	r.n++
+	*r.at(r.n - 1) = e
+}
+
+func (r *ring[T]) pop() entry[T] {
+	e := *r.at(0)
+	*r.at(0) = entry[T]{}
+	r.head = (r.head + 1) & (len(r.buf) - 1)
+	r.n--
+	return e
+}
+
+// removeIf keeps the order of the remaining items and returns how many were
+// removed.
+func (r *ring[T]) removeIf(f func(T) bool, removed func(T)) int {
+	kept := 0
+	for i := range r.n {
+		e := *r.at(i)
+		if f(e.item) {
+			removed(e.item)
+			continue
+		}
+		*r.at(kept) = e
+		kept++
+	}
+	gone := r.n - kept
+	for i := kept; i < r.n; i++ {
+		*r.at(i) = entry[T]{}
+	}
+	r.n = kept
+	return gone
+}
