--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -70,4 +70,3 @@
 	clear(e.List)
 	e.List = e.List[:0]
 }
-
