admission: add tokens, admission table, queue limit and retry-after

Cause: non-idempotent requests must run at most once although any packet may reach any instance, and a rejection must be true and immediate. Change: HMAC tokens that name one incarnation, the table that decides on them with its handover, the queue limiter, the retry budget and the retry-after jitter.

--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,192 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
+	"gotest.tools/v3/assert"
+)
+
+const second = ids.Time(time.Second)
+
+func keyring(t testing.TB, sign uint8) *Keyring {
+	k, err := NewKeyring(sign, map[uint8][]byte{sign: []byte("0123456789abcdef")})
+	assert.NilError(t, err)
+	return k
+}
+
+func token(n byte, issued ids.Time) Token {
+	return Token{KeyID: 1, Incarnation: 7, IssuedMS: uint64(issued / 1e6), Nonce: Nonce{n}}
+}
+
+// Guards against a token being accepted for another service, after a change of
+// any byte, or under a retired key.
+func TestParseAcceptsOnlyOwnTokens(t *testing.T) {
+	k := keyring(t, 1)
+	var b [TokenSize]byte
+	want := token(3, 1e15)
+	k.Mint(&b, want, "counter")
+	got, v := k.Parse(b[:], "counter")
+	assert.Equal(t, v, Valid)
+	assert.Equal(t, got, want)
+	_, v = k.Parse(b[:], "slip")
+	assert.Equal(t, v, Foreign)
+	for i := 1; i < TokenSize; i++ {
+		b[i] ^= 1
+		_, v = k.Parse(b[:], "counter")
+		assert.Equal(t, v, Foreign, "byte %d", i)
+		b[i] ^= 1
+	}
+	_, v = k.Parse(b[:39], "counter")
+	assert.Equal(t, v, Foreign)
+	_, v = keyring(t, 2).Parse(b[:], "counter")
+	assert.Equal(t, v, UnknownKey)
+}
+
+// Guards against a second execution, a wrong "not run", and an answer to
+// another request under the same token.
+func TestAdmitDecidesByAge(t *testing.T) {
+	tab := NewTable(7)
+	now := 1000 * second
+	_, d := tab.Admit(now, token(1, now), 11)
+	assert.Equal(t, d, Admit)
+	e, d := tab.Admit(now+9*second, token(1, now), 11)
+	assert.Equal(t, d, Duplicate)
+	assert.Equal(t, e.State, Running)
+	_, d = tab.Admit(now, token(1, now), 12)
+	assert.Equal(t, d, NotRun)
+	for age, want := range map[ids.Time]Decision{10: Admit, 11: NotRun, 240: NotRun, 241: OutcomeUnknown, -29: Admit, -31: OutcomeUnknown} {
+		_, d = NewTable(7).Admit(now, token(2, now-age*second), 11)
+		assert.Equal(t, d, want, "age %d s", age)
+	}
+}
+
+// Guards against an eviction while the absence of an entry still proves that
+// nothing ran, with the greatest accepted clock error.
+func TestEvictionLeavesNoWindowForSecondExecution(t *testing.T) {
+	tab := NewTable(7)
+	now := 1000 * second
+	tok := token(1, now+29*second)
+	_, d := tab.Admit(now, tok, 11)
+	assert.Equal(t, d, Admit)
+	for age := ids.Time(0); age < 400; age++ {
+		tab.Evict(now+age*second, 100)
+		_, d = tab.Admit(now+age*second, tok, 11)
+		assert.Assert(t, d == Duplicate || d == OutcomeUnknown, "age %d: %d", age, d)
+	}
+	assert.Equal(t, tab.Len(), 0)
+}
+
+// Guards against a successor that forgets an execution, runs a request of its
+// predecessor, or answers before all parts have arrived.
+func TestHandoverKeepsOutcomes(t *testing.T) {
+	now := 1000 * second
+	old, next := NewTable(7), NewTable(9)
+	for n := range byte(4) {
+		_, d := old.Admit(now, token(n, now), uint64(n))
+		assert.Equal(t, d, Admit)
+	}
+	big := make([]byte, PartBytes)
+	old.Finish(ID{7, Nonce{0}}, Answered, big, 0)
+	old.Finish(ID{7, Nonce{1}}, Answered, big, 0)
+	old.Finish(ID{7, Nonce{2}}, Refused, nil, 5)
+	old.Close()
+	_, d := old.Admit(now, token(9, now), 1)
+	assert.Equal(t, d, NotRun)
+
+	parts := old.Export(now + second)
+	assert.Equal(t, len(parts), 3)
+	for i, p := range parts {
+		assert.Assert(t, !next.Answers(7))
+		done, err := next.Import(now+second, p, time.Hour)
+		assert.NilError(t, err)
+		assert.Equal(t, done, i == 2)
+	}
+	assert.Assert(t, next.Answers(7))
+	later := now - ids.Time(time.Hour) + 2*second // the successor's clock is an hour behind
+	for n, want := range []State{Answered, Answered, Refused, Unknown} {
+		e, d := next.Admit(later, token(byte(n), now), uint64(n))
+		assert.Equal(t, d, Duplicate)
+		assert.Equal(t, e.State, want)
+	}
+	_, d = next.Admit(later, token(9, now), 1)
+	assert.Equal(t, d, NotRun)
+	parts[0].Entries[0].Nonce = nil
+	_, err := NewTable(9).Import(now, parts[0], 0)
+	assert.ErrorIs(t, err, ErrEntry)
+}
+
+// Guards against responses that exceed the memory bound.
+func TestResponsesAreBounded(t *testing.T) {
+	tab := NewTable(7)
+	big := make([]byte, MaxBytes/2+1)
+	for n := range byte(2) {
+		tab.Admit(second, token(n, second), 1)
+		tab.Finish(ID{7, Nonce{n}}, Answered, big, 0)
+	}
+	e, _ := tab.Admit(second, token(1, second), 1)
+	assert.Equal(t, e.State, Unknown)
+}
+
+// Guards against retries beyond the budget and against a retry-after interval
+// that ignores the overload.
+func TestRetryBudgetAndRetryAfter(t *testing.T) {
+	b := RetryBudget{Ratio: 0.1}
+	taken := 0
+	for range 1000 {
+		b.Attempt()
+		if b.Take() {
+			taken++
+		}
+	}
+	assert.Assert(t, taken <= 100, taken)
+
+	rng := rand.New(rand.NewPCG(1, 2))
+	top := func(offered int) uint32 {
+		r := RetryAfter{Min: time.Second, Max: 20 * time.Second}
+		for range offered {
+			r.Offered(second)
+		}
+		r.Served()
+		worst := uint32(0)
+		for range 1000 {
+			s := r.Seconds(rng)
+			assert.Assert(t, s >= 1 && s <= 20)
+			worst = max(worst, s)
+		}
+		return worst
+	}
+	assert.Assert(t, top(1) <= 2 && top(10) > 8)
+}
+
+// Guards against queueing what cannot be served in time.
+func TestLimiter(t *testing.T) {
+	l := Limiter{QueueTime: time.Second, Deadline: 2 * time.Second, Length: 100}
+	assert.Assert(t, l.Fits(9, 100*time.Millisecond, 1))
+	assert.Assert(t, !l.Fits(11, 100*time.Millisecond, 1))
+	assert.Assert(t, l.Fits(11, 100*time.Millisecond, 2))
+	assert.Assert(t, !l.Fits(0, 3*time.Second, 1))
+	assert.Assert(t, !l.Fits(100, time.Millisecond, 4))
+	assert.Assert(t, !l.Fits(0, time.Millisecond, 0))
+}
+
+func BenchmarkMint(b *testing.B) {
+	k := keyring(b, 1)
+	var dst [TokenSize]byte
+	b.ReportAllocs()
+	for b.Loop() {
+		k.Mint(&dst, Token{Incarnation: 7, IssuedMS: 5}, "counter")
+	}
+}
+
+func BenchmarkParse(b *testing.B) {
+	k := keyring(b, 1)
+	var dst [TokenSize]byte
+	k.Mint(&dst, Token{Incarnation: 7, IssuedMS: 5}, "counter")
+	b.ReportAllocs()
+	for b.Loop() {
+		k.Parse(dst[:], "counter")
+	}
+}
--- /dev/null
+++ b/internal/admission/handover.go
@@ -0,0 +1,128 @@
+package admission
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
+	"arbutusdock.example/arbutusdock/internal/peerwire"
+	"github.com/rotisserie/eris"
+)
+
+// PartBytes bounds the responses in one part of a handover.
+const PartBytes = 32 << 10
+
+// entryBytes is the approximate size of an entry without its response.
+const entryBytes = 40
+
+// Errors of Import.
+var (
+	ErrEmptyMove = eris.New("import admissions: no incarnation given")
+	ErrEntry     = eris.New("import admissions: malformed entry")
+)
+
+// Export returns the table as handover parts. The table must be closed.
+// Requests that are still running are exported with an unknown outcome.
+func (t *Table) Export(now ids.Time) []*peerwire.AdmissionMove {
+	incarnations := []ids.Incarnation{t.self}
+	for i, m := range t.moved {
+		if m.complete {
+			incarnations = append(incarnations, i)
+		}
+	}
+	slices.Sort(incarnations[1:])
+	part := &peerwire.AdmissionMove{Incarnations: incarnations}
+	parts := []*peerwire.AdmissionMove{part}
+	size := 0
+	for i := range t.length {
+		e := t.at(i)
+		if e.ID.Incarnation != t.self && !t.Answers(e.ID.Incarnation) {
+			continue
+		}
+		a := export(now, e)
+		if size += entryBytes + len(a.Response); size > PartBytes && len(part.Entries) > 0 {
+			part = &peerwire.AdmissionMove{Incarnations: incarnations, Part: part.Part + 1}
+			parts, size = append(parts, part), entryBytes+len(a.Response)
+		}
+		part.Entries = append(part.Entries, a)
+	}
+	part.Last = true
+	return parts
+}
+
+func export(now ids.Time, e *Entry) peerwire.Admission {
+	a := peerwire.Admission{
+		Incarnation: e.ID.Incarnation,
+		Nonce:       slices.Clone(e.ID.Nonce[:]),
+		Digest:      e.Digest,
+		State:       uint8(e.State),
+		AgeMS:       uint32(now.Sub(e.Admitted) / time.Millisecond),
+	}
+	switch e.State {
+	case Running:
+		a.State = uint8(Unknown)
+	case Answered:
+		a.Response = slices.Clone(e.Response)
+	case Refused:
+		a.Response = binary.BigEndian.AppendUint32(nil, e.RetryAfter)
+	}
+	return a
+}
+
+// Import enters one part of a table that another instance hands over. offset
+// is the clock of that instance minus the own clock. It returns true when all
+// parts have arrived; from then on the table answers for the incarnations. A
+// malformed entry fails the whole part: without it the table would tell that
+// the request has not run.
+func (t *Table) Import(now ids.Time, p *peerwire.AdmissionMove, offset time.Duration) (bool, error) {
+	if len(p.Incarnations) == 0 {
+		return false, ErrEmptyMove
+	}
+	for i := range p.Entries {
+		a := &p.Entries[i]
+		if len(a.Nonce) != nonceSize || !slices.Contains(p.Incarnations, a.Incarnation) ||
+			State(a.State) > Unknown || State(a.State) == Running || State(a.State) == Refused && len(a.Response) != 4 {
+			return false, ErrEntry
+		}
+	}
+	m := t.moved[p.Incarnations[0]]
+	if m == nil {
+		m = &moved{parts: make(map[uint32]bool)}
+		t.moved[p.Incarnations[0]] = m
+	}
+	if m.complete {
+		return true, nil
+	}
+	for i := range p.Entries {
+		t.importEntry(now, &p.Entries[i])
+	}
+	m.offset = offset
+	m.parts[p.Part] = true
+	if p.Last {
+		m.last, m.hasLast = p.Part, true
+	}
+	if !m.hasLast || len(m.parts) != int(m.last)+1 {
+		return false, nil
+	}
+	for _, i := range p.Incarnations {
+		t.moved[i] = &moved{offset: offset, complete: true}
+	}
+	return true, nil
+}
+
+func (t *Table) importEntry(now ids.Time, a *peerwire.Admission) {
+	id := ID{Incarnation: a.Incarnation, Nonce: Nonce(a.Nonce)}
+	if t.entries[id] != nil {
+		return
+	}
+	e := t.enter(id, a.Digest, now.Add(-time.Duration(a.AgeMS)*time.Millisecond))
+	switch s := State(a.State); s {
+	case Answered:
+		t.Finish(id, s, a.Response, 0)
+	case Refused:
+		e.State, e.RetryAfter = s, binary.BigEndian.Uint32(a.Response)
+	default:
+		e.State = s
+	}
+}
--- /dev/null
+++ b/internal/admission/token.go
@@ -0,0 +1,114 @@
+// Package admission decides whether a request may start: admission tokens and
+// the admission table that make non-idempotent requests run at most once, the
+// queue limit, the retry budget, and the retry-after time of a rejection. It
+// performs no I/O and reads no clock.
+package admission
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+	"hash"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// TokenSize is the length of an encoded token in bytes: key id 1,
+	// incarnation 8, issue time 6, nonce 9, MAC 16. It is the greatest length
+	// of an Echo option (RFC 9175 section 2.2.1).
+	TokenSize = 40
+	// MinKeySize is the least length of a key in bytes.
+	MinKeySize = 16
+
+	bodySize  = 24
+	nonceSize = 9
+)
+
+// Nonce distinguishes the tokens of one incarnation.
+type Nonce [nonceSize]byte
+
+// Token names the incarnation of the one instance that may dispatch a request.
+type Token struct {
+	KeyID       uint8
+	Incarnation ids.Incarnation
+	IssuedMS    uint64 // on the clock of the named instance, milliseconds since the Unix epoch
+	Nonce       Nonce
+}
+
+// Verdict is the result of checking an encoded token.
+type Verdict uint8
+
+// Verdicts of Keyring.Parse.
+const (
+	Valid      Verdict = iota
+	Foreign            // not issued by this system: nothing has run under it
+	UnknownKey         // the key may have been retired: nothing is known
+)
+
+// Keyring holds the keys shared by the instances. One key signs, all verify.
+// It reuses its buffers, so it belongs to one goroutine.
+type Keyring struct {
+	keys [256]hash.Hash
+	sign uint8
+	body [bodySize]byte
+	name []byte
+	sum  [sha256.Size]byte
+}
+
+// NewKeyring returns a keyring over keys that signs with the key sign.
+func NewKeyring(sign uint8, keys map[uint8][]byte) (*Keyring, error) {
+	k := &Keyring{sign: sign}
+	for id, key := range keys {
+		if len(key) < MinKeySize {
+			return nil, eris.Errorf("admission key %d: %d bytes, at least %d are needed", id, len(key), MinKeySize)
+		}
+		k.keys[id] = hmac.New(sha256.New, key)
+	}
+	if k.keys[sign] == nil {
+		return nil, eris.Errorf("admission key %d: signing key is missing", sign)
+	}
+	return k, nil
+}
+
+// Mint writes the encoding of t for service to dst. The key id of t is ignored.
+func (k *Keyring) Mint(dst *[TokenSize]byte, t Token, service ids.Service) {
+	dst[0] = k.sign
+	binary.BigEndian.PutUint64(dst[1:9], uint64(t.Incarnation))
+	var ms [8]byte
+	binary.BigEndian.PutUint64(ms[:], t.IssuedMS)
+	copy(dst[9:15], ms[2:])
+	copy(dst[15:bodySize], t.Nonce[:])
+	copy(k.body[:], dst[:bodySize])
+	copy(dst[bodySize:], k.mac(k.sign, service))
+}
+
+// Parse checks the Echo option value echo of a request to service.
+func (k *Keyring) Parse(echo []byte, service ids.Service) (Token, Verdict) {
+	if len(echo) != TokenSize {
+		return Token{}, Foreign
+	}
+	if k.keys[echo[0]] == nil {
+		return Token{}, UnknownKey
+	}
+	copy(k.body[:], echo)
+	if !hmac.Equal(k.mac(echo[0], service), echo[bodySize:]) {
+		return Token{}, Foreign
+	}
+	t := Token{KeyID: echo[0], Incarnation: ids.Incarnation(binary.BigEndian.Uint64(echo[1:9]))}
+	var ms [8]byte
+	copy(ms[2:], echo[9:15])
+	t.IssuedMS = binary.BigEndian.Uint64(ms[:])
+	copy(t.Nonce[:], echo[15:bodySize])
+	return t, Valid
+}
+
+// mac returns the truncated MAC over k.body and the service name.
+func (k *Keyring) mac(id uint8, service ids.Service) []byte {
+	h := k.keys[id]
+	h.Reset()
+	k.name = append(append(k.name[:0], k.body[:]...), service...)
+	_, _ = h.Write(k.name)
+	return h.Sum(k.sum[:0])[:TokenSize-bodySize]
+}
