--- /dev/null
+++ b/internal/flow/handover.go
@@ -0,0 +1,77 @@
+package flow
+
+import (
+	"net/netip"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
+	"arbutusdock.example/arbutusdock/internal/message"
+	"arbutusdock.example/arbutusdock/internal/peerwire"
+	"github.com/rotisserie/eris"
+)
+
+// Errors of handover records.
+var (
+	ErrToken   = eris.New("feed handover: token longer than 8 bytes")
+	ErrRequest = eris.New("feed handover: registration missing")
+)
+
+// Move returns the handover record of f.
+func (f *Feed) Move() *peerwire.FeedMove {
+	return &peerwire.FeedMove{
+		Service:  f.Service,
+		Caller:   f.Caller.String(),
+		Token:    tokenBytes(f.Key.Token),
+		Request:  f.Request,
+		Sequence: f.Sequence,
+		NextID:   f.flow.nextID,
+		Target:   f.Active.Target,
+	}
+}
+
+// Moved returns the reply to the old home of the feed with key k.
+func Moved(k Key, refused bool) *peerwire.FeedMoved {
+	return &peerwire.FeedMoved{Service: k.Service, Caller: k.Caller.String(), Token: tokenBytes(k.Token), Refused: refused}
+}
+
+// ParseKey returns the key of a feed in a handover record.
+func ParseKey(service ids.Service, caller string, token []byte) (Key, error) {
+	e, err := netip.ParseAddrPort(caller)
+	if err != nil {
+		return Key{}, eris.Wrap(err, "feed handover: caller")
+	}
+	k := Key{FlowKey: ids.FlowKey{Caller: e, Service: service}}
+	if len(token) > len(k.Token.Bytes) {
+		return Key{}, ErrToken
+	}
+	k.Token.Len = uint8(copy(k.Token.Bytes[:], token))
+	return k, nil
+}
+
+// Take enters the feed that m hands over. If the feed exists already, as after
+// two homes held it, its sequence is raised above that of the other.
+func (t *Table) Take(now ids.Time, m *peerwire.FeedMove) (f *Feed, fresh bool, err error) {
+	k, err := ParseKey(m.Service, m.Caller, m.Token)
+	if err != nil {
+		return nil, false, err
+	}
+	if len(m.Request) == 0 {
+		return nil, false, ErrRequest
+	}
+	sequence := (m.Sequence + SequenceGap) & sequenceMask
+	if f = t.feeds[k]; f != nil {
+		if sequenceNewer(f.Sequence, sequence) {
+			f.Sequence = sequence
+		}
+		return f, false, nil
+	}
+	first := !t.Has(k.FlowKey)
+	f = t.Add(now, k, m.Request)
+	f.Sequence = sequence
+	if first {
+		// The old home may use ids of its sequence until FeedMoved arrives.
+		f.flow.nextID = (m.NextID + SequenceGap) & idMask
+	}
+	return f, true, nil
+}
+
+func tokenBytes(t message.Token) []byte { return append([]byte(nil), t.Bytes[:t.Len]...) }
