spread: add ownership, pools, health, predictor and feeds

Ownership is rendezvous hashing limited to an equal part of the slots per instance, because plain rendezvous gives 5 instances between 3 and 9 of 30 slots. Lifecycle and suspicion are the charts of internal/chart.

Homes weigh an instance by its owned slots relative to the limit, with at most 4 nodes each.

share: RemoveIf goes through the partners in order of creation. Removing from the heap while iterating over it could skip a partner.

--- a/internal/share/queue.go
+++ b/internal/share/queue.go
@@ -4,6 +4,7 @@
 package share
 
 import (
+	"slices"
 	"time"
 
 	"arbutusdock.example/arbutusdock/internal/ids"
@@ -16,6 +17,7 @@
 // charge takes effect with the next Pop. The zero value is ready for use.
 type Queue[T any] struct {
 	partners map[ids.Partner]*partner[T]
+	list     []*partner[T] // all partners, oldest first
 	heap     []*partner[T] // partners with items, lowest virtual time first
 	virtual  float64       // virtual time of the last pop
 	weights  map[ids.Partner]uint32
@@ -46,13 +48,14 @@
 	for name, weight := range w {
 		q.weights[name] = weight
 	}
-	for name, p := range q.partners {
-		if _, listed := w[name]; !listed && p.index < 0 {
-			delete(q.partners, name)
-			continue
+	q.list = slices.DeleteFunc(q.list, func(p *partner[T]) bool {
+		p.weight = q.weight(p.name)
+		if _, listed := w[p.name]; listed || p.index >= 0 {
+			return false
 		}
-		p.weight = q.weight(name)
-	}
+		delete(q.partners, p.name)
+		return true
+	})
 }
 
 func (q *Queue[T]) weight(name ids.Partner) float64 {
@@ -70,6 +73,7 @@
 		}
 		p = &partner[T]{name: name, weight: q.weight(name), virtual: q.virtual, index: -1}
 		q.partners[name] = p
+		q.list = append(q.list, p)
 	}
 	return p
 }
@@ -123,14 +127,14 @@
 // RemoveIf removes the items for which f returns true and passes each of them
 // to removed. They are not charged.
 func (q *Queue[T]) RemoveIf(f func(T) bool, removed func(T)) {
-	for i := 0; i < len(q.heap); {
-		p := q.heap[i]
+	for _, p := range q.list {
+		if p.index < 0 {
+			continue
+		}
 		q.length -= p.items.removeIf(f, removed)
 		if p.items.len() == 0 {
 			q.heapRemove(p)
-			continue // another partner has moved to position i or above it
 		}
-		i++
 	}
 }
 
--- /dev/null
+++ b/internal/spread/assign_test.go
@@ -0,0 +1,110 @@
+package spread
+
+import (
+	"testing"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func table(instances []ids.Instance, targets int) *Table {
+	t := NewTable("", dc, 1)
+	t.SetInstances(start, instances)
+	t.SetService(start, resolved("s", targets))
+	return t
+}
+
+// Guards against a target with one owner, and against instances that own more
+// than their part of the slots.
+func TestAssignDistinctAndEven(t *testing.T) {
+	for _, c := range []struct{ instances, targets int }{{2, 1}, {4, 15}, {5, 4}, {5, 15}, {7, 100}} {
+		s := table(names(c.instances), c.targets).services["s"]
+		total := 0
+		for _, p := range s.assignment.targets {
+			assert.Assert(t, p.owner[0] != p.owner[1], "%+v", c)
+			assert.Assert(t, p.owner[0] != "" && p.owner[1] != "", "%+v", c)
+			total += p.slots
+		}
+		for id, n := range s.count {
+			assert.Assert(t, n*c.instances <= total+2*c.instances, "%+v: %s owns %d of %d", c, id, n, total)
+		}
+	}
+}
+
+// Guards against an incremental result that differs from the one that an
+// instance with the same view computes from scratch: two instances would then
+// use the same slot, or none would.
+func TestAssignDependsOnSetsOnly(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		all := names(12)
+		tab := NewTable("", dc, 1)
+		tab.SetService(start, resolved("s", rapid.IntRange(1, 20).Draw(r, "targets")))
+		for range rapid.IntRange(1, 8).Draw(r, "steps") {
+			var view []ids.Instance
+			for _, id := range all {
+				if rapid.Bool().Draw(r, string(id)) {
+					view = append(view, id)
+				}
+			}
+			tab.SetInstances(start, view)
+			fresh := table(view, len(tab.services["s"].assignment.targets))
+			for i, p := range tab.services["s"].assignment.targets {
+				assert.Equal(r, p.owner, fresh.services["s"].assignment.targets[i].owner)
+			}
+			for flow := range uint64(50) {
+				a, _ := tab.Home("s", ids.Mix(flow, 1))
+				b, _ := fresh.Home("s", ids.Mix(flow, 1))
+				assert.Equal(r, a, b)
+			}
+		}
+	})
+}
+
+// Guards against a leave that moves many flows that did not live on the
+// instance, which would break their feeds for nothing.
+func TestHomeMovesFewFlows(t *testing.T) {
+	for _, targets := range []int{15, 400} {
+		before, after := table(names(5), targets), table(names(4), targets)
+		moved, own, flows := 0, 0, 10000
+		for flow := range uint64(flows) {
+			a, _ := before.Home("s", ids.Mix(flow, 7))
+			b, _ := after.Home("s", ids.Mix(flow, 7))
+			if a == "instance-004" {
+				own++
+			} else if a != b {
+				moved++
+			}
+		}
+		assert.Assert(t, own > flows/8 && own < flows*3/10, "%d targets: own %d", targets, own)
+		assert.Assert(t, moved < flows/10, "%d targets: moved %d", targets, moved)
+	}
+}
+
+// Guards against a home without slots, and against homes of a service that is
+// unknown, removed or without instances.
+func TestHomeOwnsSlots(t *testing.T) {
+	tab := table(names(9), 3)
+	for flow := range uint64(100) {
+		home, ok := tab.Home("s", ids.Mix(flow, 3))
+		assert.Assert(t, ok && tab.Share("s", home) > 0)
+	}
+	tab.SetInstances(start, nil)
+	_, ok := tab.Home("s", 1)
+	assert.Assert(t, !ok)
+	tab.RemoveService("s")
+	_, ok = tab.Home("s", 1)
+	assert.Assert(t, !ok && tab.Pool("s") == nil && len(tab.Owners("s")) == 0)
+}
+
+// Guards against targets of other data centres and against names that occur
+// twice being owned.
+func TestServiceFiltersTargets(t *testing.T) {
+	r := resolved("s", 3)
+	r.Service.Targets[1].DataCentre = "elsewhere"
+	r.Service.Targets[2].Name = r.Service.Targets[0].Name
+	tab := NewTable("instance-000", dc, 1)
+	tab.SetInstances(start, names(1))
+	tab.SetService(start, r)
+	assert.Equal(t, tab.Pool("s").Owned(), 2)
+}
--- /dev/null
+++ b/internal/spread/health.go
@@ -0,0 +1,258 @@
+package spread
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/chart"
+	"arbutusdock.example/arbutusdock/internal/ids"
+)
+
+// outcome takes the result of a request into account. Requests carry more
+// weight than checks: a success clears suspicion and outdates failed checks,
+// and suspicion that came from requests is cleared by a request only.
+func (p *Pool) outcome(now ids.Time, i int32, e *run, o Outcome) {
+	t := p.targets[i]
+	switch o {
+	case Success:
+		t.failures, t.sheds = 0, 0
+		t.failedChecks = 0
+		t.lastSuccess = now
+		// A response to a request from before the suspicion is no evidence
+		// against later failures.
+		if t.suspected() && (!t.fromRequests || !e.start.Before(t.suspectedAt)) {
+			p.clear(now, i, t.fromRequests)
+		}
+	case Shed:
+		// Alive but full: the other owner or an instance with another
+		// membership list uses the slot.
+		t.failures = 0
+		t.sheds++
+		t.heldUntil = now.Add(shedPause(t.sheds))
+		if e.probe {
+			p.postpone(now, t)
+		}
+	case Timeout, Failure:
+		p.failed(now, i, e, o)
+	case Cancelled:
+	}
+}
+
+// failed counts a failed request. A timeout of a long request is no evidence
+// by itself, since its deadline may have been too short for it.
+func (p *Pool) failed(now ids.Time, i int32, e *run, o Outcome) {
+	t := p.targets[i]
+	if o == Timeout && e.class == Long && !e.observed && t.failedChecks == 0 {
+		return
+	}
+	t.failures++
+	if t.suspected() {
+		t.fromRequests = true
+		if e.probe {
+			t.backOff = min(2*t.backOff, maxBackOff)
+			p.postpone(now, t)
+		}
+		return
+	}
+	if t.failures >= failuresToSuspect || t.failedChecks > 0 {
+		p.suspectTarget(now, i, true)
+	}
+}
+
+// postpone sets the time of the next probe request.
+func (p *Pool) postpone(now ids.Time, t *target) {
+	wait := t.backOff
+	if t.failedChecks > 0 {
+		wait = max(wait, failedCheckBackOff)
+	}
+	t.probeAt = now.Add(wait)
+}
+
+// suspectTarget stops the use of a target until a probe has succeeded.
+func (p *Pool) suspectTarget(now ids.Time, i int32, fromRequests bool) {
+	t := p.targets[i]
+	t.trust.Fire(chart.SuspicionSilent)
+	t.fromRequests = fromRequests
+	t.suspectedAt = now
+	t.backOff = minBackOff
+	p.postpone(now, t)
+	p.trustChanged(now, i, +1)
+}
+
+// clear ends suspicion. A target that has recovered starts slowly.
+func (p *Pool) clear(now ids.Time, i int32, slowly bool) {
+	t := p.targets[i]
+	t.trust.Fire(chart.SuspicionRefute)
+	t.failures, t.failedChecks = 0, 0
+	if t.unproven {
+		t.unproven = false
+		t.slowUntil = now.Add(p.spread.SlowStart)
+		if t.counted() {
+			p.owned++
+			p.suspect++ // taken off by trustChanged
+		}
+	}
+	if slowly && p.spread.SlowStart > 0 {
+		if _, ok := t.life.Fire(chart.BackendRestart); ok {
+			t.slowUntil = now.Add(p.spread.SlowStart)
+		}
+	}
+	p.trustChanged(now, i, -1)
+}
+
+// trustChanged updates the panic state after target i changed its suspicion.
+func (p *Pool) trustChanged(now ids.Time, i int32, change int) {
+	t := p.targets[i]
+	if t.counted() {
+		p.suspect += change
+	}
+	if p.setPanic() {
+		for k := range p.targets {
+			if p.targets[k] != nil {
+				p.refresh(now, int32(k))
+			}
+		}
+		return
+	}
+	p.refresh(now, i)
+}
+
+// Health records the result of an active health check. The reported load is
+// not used for placement: it may be stale, while the slots in use are known.
+func (p *Pool) Health(now ids.Time, h Health) {
+	p.now = now
+	i, ok := p.byName[h.Target]
+	if !ok {
+		return
+	}
+	t := p.targets[i]
+	previous := t.lastCheck
+	t.lastCheck = now
+	drains := t.life.State() == chart.BackendDraining
+	switch {
+	case h.Draining && !drains:
+		t.life.Fire(chart.BackendDrain)
+		p.recount(now)
+	case !h.Draining && h.Healthy && drains && !t.configDrains:
+		p.restart(now, t)
+		p.recount(now)
+	}
+	if h.Healthy || h.Draining {
+		p.checkPassed(now, i)
+	} else {
+		p.checkFailed(now, i, previous)
+	}
+}
+
+func (p *Pool) checkPassed(now ids.Time, i int32) {
+	t := p.targets[i]
+	recovered := t.failedChecks > 0
+	t.failedChecks = 0
+	switch {
+	case !t.suspected():
+	case !t.fromRequests:
+		p.clear(now, i, recovered)
+	case recovered:
+		// The check has changed from failed to passed, so a probe request has
+		// better prospects than the back-off assumes. A check that passes all
+		// the time says nothing.
+		t.backOff = minBackOff
+		t.probeAt = min(t.probeAt, now)
+		p.refresh(now, i)
+	}
+}
+
+// checkFailed counts a failed check unless requests show that the target
+// works: one has succeeded since the previous check, or the last one did not
+// long ago and none has been sent since.
+func (p *Pool) checkFailed(now ids.Time, i int32, previous ids.Time) {
+	t := p.targets[i]
+	if t.lastSuccess > 0 && t.failures == 0 {
+		if t.lastSuccess >= previous {
+			return
+		}
+		if t.lastDispatch <= t.lastSuccess && now.Sub(t.lastSuccess) < successTrusted {
+			return
+		}
+	}
+	t.failedChecks++
+	if !t.suspected() && (t.failedChecks >= checksToSuspect || t.failures > 0) {
+		p.suspectTarget(now, i, false)
+	}
+}
+
+// setDraining applies the drain flag of the configuration.
+func (p *Pool) setDraining(now ids.Time, t *target, draining bool) {
+	was := t.configDrains
+	t.configDrains = draining
+	if draining {
+		t.life.Fire(chart.BackendDrain)
+	} else if was && t.life.State() == chart.BackendDraining {
+		p.restart(now, t)
+	}
+}
+
+// restart begins the slow start of a target that was drained.
+func (p *Pool) restart(now ids.Time, t *target) {
+	if _, ok := t.life.Fire(chart.BackendRestart); ok {
+		t.slowUntil = now.Add(p.spread.SlowStart)
+	}
+}
+
+// expire ends the slow start of a target.
+func (p *Pool) expire(now ids.Time, t *target) {
+	if t.life.State() == chart.BackendStarting && !now.Before(t.slowUntil) {
+		t.life.Fire(chart.BackendReady)
+	}
+}
+
+// checks calls due for each health check whose time has come: new targets at
+// once, the others in the order of their phases. All have the same interval,
+// so the first one that is not due ends the search.
+func (p *Pool) checks(now ids.Time, due func(s ids.Service, target ids.Target, url string)) {
+	for _, i := range p.fresh {
+		if t := p.targets[i]; t != nil && t.url != "" && t.owned > 0 {
+			due(p.service, t.name, t.url)
+		}
+	}
+	p.fresh = p.fresh[:0]
+	for range p.order {
+		i := p.order[p.cursor]
+		t := p.targets[i]
+		if now.Before(t.nextCheck) {
+			return
+		}
+		t.nextCheck = p.nextPhase(now, i)
+		p.cursor = (p.cursor + 1) % len(p.order)
+		due(p.service, t.name, t.url)
+	}
+}
+
+// sortChecks orders the targets with a health endpoint by phase, beginning
+// with the one that is due next.
+func (p *Pool) sortChecks() {
+	slices.SortFunc(p.order, func(a, b int32) int {
+		return cmp.Or(cmp.Compare(p.phase(a), p.phase(b)), cmp.Compare(p.targets[a].name, p.targets[b].name))
+	})
+	p.cursor = 0
+	for k, i := range p.order {
+		if p.targets[i].nextCheck < p.targets[p.order[p.cursor]].nextCheck {
+			p.cursor = k
+		}
+	}
+}
+
+// phase spreads the health checks of a pool over the check interval.
+func (p *Pool) phase(i int32) time.Duration {
+	return time.Duration(ids.Mix(p.seed, ids.Hash(string(p.targets[i].name))) % uint64(checkInterval))
+}
+
+// nextPhase returns the next instant after now in the phase of target i.
+func (p *Pool) nextPhase(now ids.Time, i int32) ids.Time {
+	next := now - now%ids.Time(checkInterval) + ids.Time(p.phase(i))
+	if !now.Before(next) {
+		next = next.Add(checkInterval)
+	}
+	return next
+}
--- /dev/null
+++ b/internal/spread/health_test.go
@@ -0,0 +1,166 @@
+package spread
+
+import (
+	"testing"
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
+	"gotest.tools/v3/assert"
+)
+
+func (f *fixture) check(t ids.Target, healthy bool) {
+	f.pool.Health(f.now, Health{Target: t, Healthy: healthy})
+}
+
+// Guards against a target that fails requests and stays in use, and against
+// several probe requests at a time or without a growing back-off.
+func TestSuspectedTargetIsProbed(t *testing.T) {
+	f := newFixture(4)
+	f.fail("t00001")
+	assert.Equal(t, f.state("t00001").Suspicion, "suspected")
+	assert.Equal(t, f.pool.Owned(), 6)
+	for _, wait := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second} {
+		f.advance(wait - 20*time.Millisecond)
+		assert.Equal(t, f.pool.Free(Short), 6)
+		f.advance(30 * time.Millisecond)
+		assert.Equal(t, f.pool.Free(Short), 7)
+		l, ok := f.pool.Acquire(f.now, Short, "")
+		assert.Assert(t, ok && l.Target == "t00001")
+		assert.Equal(t, f.pool.Free(Short), 6, "one probe at a time")
+		f.pool.Release(f.now, l, 1, Failure)
+	}
+}
+
+// Guards against a recovered target that gets its full load at once.
+func TestRecoveredTargetStartsSlowly(t *testing.T) {
+	f := newFixture(4)
+	f.fail("t00001")
+	f.advance(600 * time.Millisecond)
+	f.request(1, 5*time.Millisecond, Success)
+	s := f.state("t00001")
+	assert.DeepEqual(t, []any{s.Suspicion, s.Lifecycle, s.Usable}, []any{"trusted", "starting", 1})
+	f.advance(2100 * time.Millisecond)
+	assert.Equal(t, f.state("t00001").Usable, 2)
+}
+
+// Guards against a lying health endpoint that takes a working target out of
+// use, and against one that keeps a failing target in use.
+func TestRequestsOverrideChecks(t *testing.T) {
+	f := newFixture(4)
+	for range 20 {
+		f.check("t00001", false)
+		f.check("t00002", true)
+		for range 8 {
+			name, ok := f.request(1, 5*time.Millisecond, Success)
+			assert.Assert(t, ok && name != "")
+		}
+		f.advance(time.Second)
+	}
+	assert.Equal(t, f.state("t00001").Suspicion, "trusted")
+	f.fail("t00002")
+	f.check("t00002", true)
+	assert.Equal(t, f.state("t00002").Suspicion, "suspected")
+}
+
+// Guards against a dead target that is found only by the requests it fails:
+// checks suffice while requests do not contradict them.
+func TestChecksSuspectWithoutRequests(t *testing.T) {
+	f := newFixture(4)
+	f.check("t00001", false)
+	f.advance(time.Second)
+	f.check("t00001", false)
+	assert.Equal(t, f.state("t00001").Suspicion, "suspected")
+	f.advance(time.Second)
+	f.check("t00001", true)
+	assert.Equal(t, f.state("t00001").Suspicion, "trusted")
+
+	l, _ := f.pool.AcquireTarget(f.now, "t00002")
+	f.check("t00002", false)
+	f.pool.Release(f.now, l, 1, Timeout)
+	assert.Equal(t, f.state("t00002").Suspicion, "suspected", "a failed check and a failed request")
+}
+
+// Guards against a service that stops because most of its targets are
+// suspected, and against a pool of one dead target that keeps using it.
+func TestPanicThreshold(t *testing.T) {
+	f := newFixture(4)
+	f.fail("t00000")
+	f.fail("t00001")
+	assert.Equal(t, f.pool.Owned(), 4)
+	f.fail("t00002")
+	assert.Equal(t, f.pool.Owned(), 8)
+	l, _ := f.pool.AcquireTarget(f.now, "t00002")
+	f.pool.Release(f.now+ms, l, 1, Success)
+	assert.Equal(t, f.state("t00002").Suspicion, "trusted")
+	assert.Equal(t, f.pool.Owned(), 3, "one slot of t00002 during slow start")
+	one := newFixture(1)
+	one.fail("t00000")
+	assert.Equal(t, one.pool.Owned(), 0)
+}
+
+// Guards against a new target that is used before it is up or with all its
+// slots at once, and against one whose health endpoint never passes.
+func TestNewTargetStartsSlowly(t *testing.T) {
+	f := newFixture(4)
+	f.advance(10 * time.Second)
+	f.r.Service.Targets = resolved("s", 6).Service.Targets
+	f.SetService(f.now, f.r)
+	f.due = map[ids.Target]int{}
+	f.advance(10 * time.Millisecond)
+	assert.Equal(t, f.due["t00004"], 1, "checked at once")
+	assert.Equal(t, f.pool.Owned(), 8)
+	f.check("t00004", true)
+	assert.Equal(t, f.pool.Owned(), 9)
+	f.advance(2100 * time.Millisecond)
+	assert.Equal(t, f.pool.Owned(), 10)
+	f.advance(3 * time.Second)
+	assert.Equal(t, f.pool.Owned(), 11, "a probe request of the target that was not checked")
+}
+
+// Guards against new work for a draining target, and against one that is
+// never used again after the drain was withdrawn.
+func TestDrainingTarget(t *testing.T) {
+	f := newFixture(2)
+	f.pool.Health(f.now, Health{Target: "t00000", Healthy: true, Draining: true})
+	assert.Assert(t, f.pool.Owned() == 2 && f.pool.Leaving("t00000"))
+	_, ok := f.pool.AcquireTarget(f.now, "t00000")
+	assert.Assert(t, ok, "a follow-up block")
+	f.check("t00000", true)
+	assert.Equal(t, f.state("t00000").Lifecycle, "starting")
+	f.r.Service.Targets[0].Draining = true
+	f.SetService(f.now, f.r)
+	f.check("t00000", true)
+	assert.Equal(t, f.state("t00000").Lifecycle, "draining", "a check does not undo the configuration")
+	f.r.Service.Targets[0].Draining = false
+	f.SetService(f.now, f.r)
+	f.advance(2100 * time.Millisecond)
+	assert.Equal(t, f.pool.Owned(), 4)
+}
+
+// Guards against requests that are sent again and again to a full target.
+func TestShedPausesTarget(t *testing.T) {
+	f := newFixture(1)
+	f.request(1, time.Millisecond, Shed)
+	assert.Equal(t, f.pool.Free(Short), 0)
+	f.advance(30 * time.Millisecond)
+	assert.Equal(t, f.pool.Free(Short), 2)
+	assert.Equal(t, f.state("t00000").Suspicion, "trusted")
+}
+
+// Guards against checks that are missed, doubled or bunched.
+func TestCheckSchedule(t *testing.T) {
+	f := newFixture(20)
+	f.advance(20 * time.Millisecond)
+	f.due = map[ids.Target]int{}
+	most := 0
+	for range 1000 {
+		before := len(f.due)
+		f.advance(10 * time.Millisecond)
+		most = max(most, len(f.due)-before)
+	}
+	assert.Equal(t, len(f.due), 20)
+	for name, n := range f.due {
+		assert.Equal(t, n, 10, name)
+	}
+	assert.Assert(t, most < 8, "%d new targets checked in one tick", most)
+}
--- /dev/null
+++ b/internal/spread/pool_test.go
@@ -0,0 +1,233 @@
+package spread
+
+import (
+	"testing"
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/config"
+	"arbutusdock.example/arbutusdock/internal/ids"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against uneven use: each owned target gets the same number of
+// requests, whatever the order in which they end.
+func TestAcquireUsesTargetsEvenly(t *testing.T) {
+	f := newFixture(5)
+	used := map[ids.Target]int{}
+	for range 100 {
+		name, ok := f.request(1, time.Millisecond, Success)
+		assert.Assert(t, ok)
+		used[name]++
+	}
+	for name, n := range used {
+		assert.Equal(t, n, 20, name)
+	}
+}
+
+// Guards against more requests than slots, and against a slot that is lost or
+// won by a second release.
+func TestAcquireBoundedBySlots(t *testing.T) {
+	f := newFixture(2)
+	var leases []Lease
+	for range 4 {
+		l, ok := f.pool.Acquire(f.now, Short, "")
+		assert.Assert(t, ok)
+		leases = append(leases, l)
+	}
+	_, ok := f.pool.Acquire(f.now, Short, "")
+	assert.Assert(t, !ok)
+	_, ok = f.pool.AcquireTarget(f.now, leases[0].Target)
+	assert.Assert(t, !ok)
+	for range 2 {
+		f.pool.Release(f.now+ms, leases[0], 1, Success)
+	}
+	assert.Equal(t, f.pool.Free(Short), 1)
+}
+
+// Guards against a retry on the target that has just failed the request while
+// another one is usable, and against no retry when it is the only one.
+func TestAcquireAvoids(t *testing.T) {
+	f := newFixture(2)
+	for range 2 {
+		l, ok := f.pool.Acquire(f.now, Short, "t00000")
+		assert.Assert(t, ok && l.Target == "t00001")
+	}
+	_, ok := f.pool.Acquire(f.now, Short, "t00000")
+	assert.Assert(t, !ok)
+	one := newFixture(1)
+	l, ok := one.pool.Acquire(one.now, Short, "t00000")
+	assert.Assert(t, ok && l.Target == "t00000")
+}
+
+// Guards against head-of-line blocking: requests of a key that has run long
+// hold at most 60% of the slots, also those predicted short.
+func TestLongRequestsAreCapped(t *testing.T) {
+	f := newFixture(5)
+	for k := range uint64(20) {
+		f.request(k, 10*time.Millisecond, Success)
+	}
+	assert.Equal(t, f.pool.Classify(99), Short)
+	first, _ := f.pool.Acquire(f.now, Short, "")
+	f.advance(100 * time.Millisecond)
+	assert.Equal(t, f.pool.Free(Long), 5, "a request that runs long counts as long")
+	f.advance(400 * time.Millisecond)
+	f.pool.Release(f.now, first, 99, Success)
+	assert.Equal(t, f.pool.Classify(99), Long)
+	for range 6 {
+		_, ok := f.pool.Acquire(f.now, Long, "")
+		assert.Assert(t, ok)
+	}
+	_, ok := f.pool.Acquire(f.now, Long, "")
+	assert.Assert(t, !ok && f.pool.Free(Long) == 0 && f.pool.Free(Short) == 4)
+	assert.Assert(t, f.pool.RunTime() < 20*time.Millisecond)
+}
+
+// Guards against a dead target teaching that its requests are long, and
+// against a request that never ends in time being taken as short for ever.
+func TestPredictorAndTimeouts(t *testing.T) {
+	p := newPredictor()
+	for range 20 {
+		p.learn(1, 10*time.Millisecond, Short, Success)
+	}
+	p.learn(1, 2*time.Second, Short, Timeout)
+	p.learn(1, 2*time.Second, Short, Timeout)
+	assert.Equal(t, p.classify(1), Short)
+	for range timeoutsToLearn {
+		p.learn(2, 2*time.Second, Short, Timeout)
+	}
+	assert.Equal(t, p.classify(2), Long)
+	for k := uint64(1000); k < 20000; k++ {
+		p.learn(k, 10*time.Millisecond, Short, Success)
+	}
+	assert.Equal(t, p.classify(2), Short, "an unused key is evicted")
+}
+
+// Guards against a median that is off by more than its bucket width.
+func TestMedian(t *testing.T) {
+	for _, d := range []time.Duration{20 * time.Microsecond, 3 * time.Millisecond, 47 * time.Millisecond, 9 * time.Second} {
+		p := newPredictor()
+		for range 100 {
+			p.learn(1, d, Short, Success)
+		}
+		ratio := float64(p.mid) / float64(d)
+		assert.Assert(t, ratio > 0.85 && ratio < 1.15, "%v: %v", d, p.mid)
+	}
+}
+
+// Guards against lost or double-counted slots when ownership, health and
+// requests change in any order.
+func TestPoolCounters(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		f := newFixture(6)
+		var leases []Lease
+		for range rapid.IntRange(1, 60).Draw(r, "steps") {
+			switch rapid.IntRange(0, 6).Draw(r, "step") {
+			case 0, 1:
+				if l, ok := f.pool.Acquire(f.now, Class(rapid.IntRange(0, 1).Draw(r, "class")), ""); ok {
+					leases = append(leases, l)
+				}
+			case 2:
+				if len(leases) > 0 {
+					i := rapid.IntRange(0, len(leases)-1).Draw(r, "lease")
+					f.pool.Release(f.now, leases[i], uint64(i), Outcome(rapid.IntRange(0, 4).Draw(r, "outcome")))
+					leases = append(leases[:i], leases[i+1:]...)
+				}
+			case 3:
+				f.SetInstances(f.now, names(rapid.IntRange(1, 4).Draw(r, "instances")))
+			case 4:
+				f.r.Service.Targets = resolved("s", rapid.IntRange(1, 8).Draw(r, "targets")).Service.Targets
+				f.r.Service.Targets[0].Draining = rapid.Bool().Draw(r, "draining")
+				f.SetService(f.now, f.r)
+			case 5:
+				f.pool.Health(f.now, Health{Target: "t00001", Healthy: rapid.Bool().Draw(r, "healthy")})
+			case 6:
+				f.advance(time.Duration(rapid.IntRange(1, 300).Draw(r, "time")) * 10 * time.Millisecond)
+			}
+			f.checkCounters(r, len(leases))
+		}
+	})
+}
+
+func (f *fixture) checkCounters(r *rapid.T, leases int) {
+	p := f.pool
+	usable, free, running, listed, longs, counted, suspect := 0, 0, 0, 0, 0, 0, 0
+	for _, t := range p.targets {
+		if t == nil {
+			continue
+		}
+		usable, free, running = usable+t.usable, free+t.free, running+t.inUse
+		if t.listed {
+			listed++
+			assert.Assert(r, t.free > 0)
+		}
+		if t.counted() {
+			counted++
+			if t.suspected() {
+				suspect++
+			}
+		}
+	}
+	for _, e := range p.runs {
+		if e.active && e.class == Long {
+			longs++
+		}
+	}
+	assert.DeepEqual(r, []int{usable, free, running, longs, counted, suspect},
+		[]int{p.usable, p.free, leases, p.longs, p.owned, p.suspect})
+	n := 0
+	for i := p.head; i != none; i = p.targets[i].next {
+		n++
+	}
+	assert.Equal(r, n, listed)
+}
+
+// Guards against a pool that disappears while its requests run, and against
+// one that stays for ever.
+func TestPoolOutlivesOwnership(t *testing.T) {
+	f := newFixture(1)
+	l, _ := f.pool.Acquire(f.now, Short, "")
+	name, _, _ := f.pool.OpenFeed(f.now, "")
+	f.RemoveService("s")
+	assert.Assert(t, f.Pool("s") == f.pool && f.pool.Free(Short) == 0 && f.pool.Leaving(name))
+	f.pool.Release(f.now, l, 1, Success)
+	f.pool.CloseFeed(name, Success)
+	f.advance(20 * time.Millisecond)
+	assert.Assert(t, f.Pool("s") == nil)
+}
+
+// Guards against feeds that pile up on one target, exceed the limit of the
+// profile or go to a target that is leaving.
+func TestFeedsAreEvenAndBounded(t *testing.T) {
+	f := newFixture(4)
+	f.r.Service.Targets[3].Draining = true
+	f.SetService(f.now, f.r)
+	count := map[ids.Target]int{}
+	for range 30 {
+		name, _, ok := f.pool.OpenFeed(f.now, "t00001")
+		assert.Assert(t, ok)
+		count[name]++
+	}
+	assert.DeepEqual(t, count, map[ids.Target]int{"t00000": 10, "t00001": 10, "t00002": 10})
+	_, _, ok := f.pool.OpenFeed(f.now, "")
+	assert.Assert(t, !ok)
+	f.pool.CloseFeed("t00002", Success)
+	name, _, _ := f.pool.OpenFeed(f.now, "")
+	assert.Equal(t, name, ids.Target("t00002"))
+	assert.Assert(t, f.pool.Leaving("t00003") && !f.pool.Leaving("t00000") && f.pool.Leaving("unknown"))
+}
+
+// Guards against a target that keeps its old address, health and requests
+// when another backend server takes over its name.
+func TestTargetMovesToNewAddress(t *testing.T) {
+	f := newFixture(3)
+	l, _ := f.pool.AcquireTarget(f.now, "t00000")
+	moved := resolved("s", 3)
+	moved.Service.Targets = append([]config.Target{}, moved.Service.Targets...)
+	moved.Service.Targets[0].Address = moved.Service.Targets[2].Address
+	f.SetService(f.now, moved)
+	assert.Equal(t, f.state("t00000").InUse, 0)
+	assert.Equal(t, f.state("t00000").Lifecycle, "starting")
+	f.pool.Release(f.now+ms, l, 1, Failure)
+	assert.Equal(t, f.state("t00000").Suspicion, "suspected", "unproven until checked")
+}
--- /dev/null
+++ b/internal/spread/predict.go
@@ -0,0 +1,164 @@
+package spread
+
+import (
+	"math/bits"
+	"time"
+)
+
+// Defaults for a profile that leaves the values out.
+const (
+	defaultLongFactor = 8
+	defaultLongShare  = 0.6
+	// initialRunTime stands for the run time of short requests until one has
+	// been seen.
+	initialRunTime = 20 * time.Millisecond
+)
+
+const (
+	predictorSets   = 128 // times predictorWays keys with a history
+	predictorWays   = 4
+	timeoutsToLearn = 3
+	// medianLearned is the number of run times before the median is trusted.
+	medianLearned = 8
+	// medianWindow halves the weight of older run times, so that the median
+	// follows a change of the service.
+	medianWindow = 1024
+	// Run times are counted in buckets of 1/4 octave from 16 µs, which bounds
+	// the error of the median to 10%.
+	medianBuckets = 96
+	medianBase    = 14 // 2^14 ns
+)
+
+// history is the moving average of the run time of one key.
+type history struct {
+	key      uint64
+	mean     time.Duration
+	used     uint32 // clock of the last use, for eviction
+	timeouts uint32 // since the last success
+}
+
+// predictor learns the run times of one service.
+type predictor struct {
+	sets       [predictorSets][predictorWays]history
+	clock      uint32
+	counts     [medianBuckets]uint32
+	total      uint32
+	mid        time.Duration // cached median
+	stale      uint32        // run times since mid was computed
+	shortMean  time.Duration
+	longFactor float64
+}
+
+func newPredictor() predictor {
+	return predictor{shortMean: initialRunTime, longFactor: defaultLongFactor}
+}
+
+func (p *predictor) short() time.Duration { return p.shortMean }
+
+// threshold returns the run time from which a request is long, 0 while too
+// little is known.
+func (p *predictor) threshold() time.Duration {
+	if p.total < medianLearned {
+		return 0
+	}
+	return time.Duration(p.longFactor * float64(p.mid))
+}
+
+func (p *predictor) classify(key uint64) Class {
+	set := &p.sets[key%predictorSets]
+	for i := range set {
+		if set[i].key == key && set[i].mean > 0 {
+			if t := p.threshold(); t > 0 && set[i].mean > t {
+				return Long
+			}
+			return Short
+		}
+	}
+	return Short
+}
+
+// learn takes the run time of a request into account. A timeout says as much
+// about a dead target as about the request: only a row of them without a
+// success makes the request long.
+func (p *predictor) learn(key uint64, run time.Duration, c Class, o Outcome) {
+	if run <= 0 || o != Success && o != Timeout {
+		return
+	}
+	h := p.find(key)
+	if o == Timeout {
+		if h.timeouts++; h.timeouts >= timeoutsToLearn {
+			h.mean = max(h.mean, run)
+		}
+		return
+	}
+	h.timeouts = 0
+	if h.mean == 0 {
+		h.mean = run
+	} else {
+		h.mean += (run - h.mean) / 4
+	}
+	p.count(run)
+	if c == Short {
+		p.shortMean += (run - p.shortMean) / 16
+	}
+}
+
+// find returns the history of key; a new key replaces the least recently used
+// one of its set.
+func (p *predictor) find(key uint64) *history {
+	p.clock++
+	set := &p.sets[key%predictorSets]
+	oldest := &set[0]
+	for i := range set {
+		h := &set[i]
+		if h.key == key && h.used > 0 {
+			h.used = p.clock
+			return h
+		}
+		if h.used < oldest.used {
+			oldest = h
+		}
+	}
+	*oldest = history{key: key, used: p.clock}
+	return oldest
+}
+
+// bucket returns the index of the quarter octave that holds d.
+func bucket(d time.Duration) int {
+	v := uint64(max(d, 1<<medianBase))
+	exp := bits.Len64(v) - 1
+	quarter := v >> (exp - 2) & 3
+	return min((exp-medianBase)*4+int(quarter), medianBuckets-1)
+}
+
+// bucketMiddle returns the middle of bucket i.
+func bucketMiddle(i int) time.Duration {
+	exp, quarter := i/4+medianBase, i%4
+	return time.Duration(uint64(9+2*quarter) << (exp - 3))
+}
+
+// count adds a run time to the median. The cached median is computed again
+// after an eighth of the values has changed.
+func (p *predictor) count(run time.Duration) {
+	p.counts[bucket(run)]++
+	p.total++
+	p.stale++
+	if p.total >= medianWindow {
+		p.total = 0
+		for i := range p.counts {
+			p.counts[i] /= 2
+			p.total += p.counts[i]
+		}
+	}
+	if p.stale*8 < p.total && p.total > medianLearned {
+		return
+	}
+	p.stale = 0
+	seen := uint32(0)
+	for i, n := range p.counts {
+		if seen += n; seen*2 >= p.total {
+			p.mid = bucketMiddle(i)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/spread/target.go
@@ -0,0 +1,109 @@
+package spread
+
+import (
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/chart"
+	"arbutusdock.example/arbutusdock/internal/ids"
+)
+
+// target is one backend server target of which this instance owns, or did
+// own, slots. Lifecycle and suspicion are independent of each other.
+type target struct {
+	name     ids.Target
+	endpoint ids.Endpoint
+	url      string // of its health endpoint; empty for passive health only
+	life     chart.Machine
+	trust    chart.Machine
+
+	slots int  // slots of the target, owned by any instance
+	owned int  // owned slots
+	first bool // slot 0 is owned, the only one in use during slow start
+	inUse int  // running requests, including those of slots since lost
+	feeds int
+
+	usable     int // owned slots that may be used now, see limit
+	free       int // max(usable - inUse, 0)
+	next, prev int32
+	listed     bool // in the list of targets with a free slot
+
+	slowUntil ids.Time // end of slow start while starting
+	heldUntil ids.Time // end of the pause after a shed request
+	sheds     int      // consecutive shed requests
+	timed     bool     // in the list of targets with a timer
+
+	unproven     bool     // new, and nothing has shown yet that it is up
+	fromRequests bool     // suspected because of requests, not of checks
+	suspectedAt  ids.Time // when suspicion began
+	probeAt      ids.Time // earliest next probe request while suspected
+	backOff      time.Duration
+	probing      bool
+	probeReady   bool // counted in pool.probes
+
+	failures     int      // consecutive failed requests
+	lastSuccess  ids.Time // of a request
+	lastDispatch ids.Time
+	failedChecks int      // consecutive failed checks that count as evidence
+	lastCheck    ids.Time // when the last result arrived
+	nextCheck    ids.Time
+	configDrains bool // draining by configuration, which a check cannot undo
+}
+
+// Limits of passive and active health.
+const (
+	checkInterval = time.Second
+	// One lost datagram must not cost a slot; two failures in a row with no
+	// success between them are rarely chance.
+	failuresToSuspect = 2
+	checksToSuspect   = 2
+	// A failed check of a target that has served a request so recently, and
+	// has had none since, says more about the check than about the target.
+	successTrusted = 10 * time.Second
+	// Each probe request to a dead target fails for its caller, so the back-off
+	// doubles; while checks succeed, a probe has better prospects.
+	minBackOff         = 500 * time.Millisecond
+	maxBackOff         = 16 * time.Second
+	minShedBackOff     = 20 * time.Millisecond
+	maxShedBackOff     = 320 * time.Millisecond
+	failedCheckBackOff = 2 * time.Second
+	// A new target whose checks do not pass is probed with a request after this
+	// time, because the health endpoint may be wrong.
+	unprovenWait = 5 * time.Second
+	// Below this number of targets the share of suspected ones says nothing:
+	// a single dead target would be a majority.
+	panicTargets = 3
+)
+
+func (t *target) suspected() bool { return t.trust.State() == chart.Suspected }
+
+func (t *target) leaving() bool {
+	s := t.life.State()
+	return s == chart.BackendDraining || s == chart.BackendGone
+}
+
+// counted reports whether the target counts for the panic threshold.
+func (t *target) counted() bool { return t.owned > 0 && !t.leaving() && !t.unproven }
+
+// limit returns how many owned slots may be used now.
+func (t *target) limit(now ids.Time, panicking bool) int {
+	switch {
+	case t.leaving(), t.unproven, now.Before(t.heldUntil), t.suspected() && !panicking:
+		return 0
+	case t.life.State() == chart.BackendStarting && t.first:
+		return min(t.owned, 1)
+	case t.life.State() == chart.BackendStarting:
+		return 0
+	}
+	return t.owned
+}
+
+// canProbe reports whether a request may be sent to the suspected target to
+// find out whether it works again.
+func (t *target) canProbe(now ids.Time) bool {
+	return t.suspected() && !t.leaving() && !t.probing && t.inUse < t.owned && !now.Before(t.probeAt)
+}
+
+// shedPause returns the pause after the n-th consecutive shed request.
+func shedPause(n int) time.Duration {
+	return min(minShedBackOff<<min(n-1, 8), maxShedBackOff)
+}
--- a/internal/spread/types.go
+++ b/internal/spread/types.go
@@ -35,6 +35,8 @@
 type Lease struct {
 	Target   ids.Target
 	Endpoint ids.Endpoint
+	run      int32  // index of the running request in the pool
+	gen      uint32 // generation of that entry
 }
 
 // Health is the result of one active health check of a target.
@@ -45,3 +47,14 @@
 	Load     float64 // reported share of slots in use; negative when absent
 	Took     time.Duration
 }
+
+// TargetState describes one target of a pool, for the admin interface.
+type TargetState struct {
+	Target    ids.Target
+	Lifecycle string
+	Suspicion string
+	Owned     int // owned slots
+	Usable    int // owned slots that may be used now
+	InUse     int // requests running in owned slots
+	Feeds     int
+}
