--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -21,7 +21,7 @@
 	MaxDatagram = 65507
 	// Deadline is the number of the elective option that carries the time left
 	// for a request, in milliseconds (experimental range, RFC 7252 section 12.2).
-	Deadline coap.OptionID = 65001
+	Deadline coap.OptionID = 65000
 
 	defaultMaxAge = 60 // seconds, RFC 7252 section 5.10.5
 	maxObserve    = 1<<24 - 1
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -89,10 +89,9 @@
 
 // Caller runs the mix of one user.
 type Caller struct {
-	opt    Options
-	stats  *stats
-	conns  map[string][]*conn // by service
-	number uint64
+	opt   Options
+	stats *stats
+	conns map[string][]*conn // by service
 }
 
 // New opens the connections of all callers.
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,120 @@
+#!/usr/bin/env bash
+# Runs the demo: two data centres with five instances each, their backend
+# servers, the platform, the fabric and the callers of both users, as separate
+# processes on loopback addresses. During about 30 s of load it changes a
+# profile, stops an instance as planned, drains backend servers and kills an
+# instance. The stand-ins count what broke. Exit status 0: every promise kept.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+BASE=${DEMO_BASE:-90}         # second byte of the first loopback network
+SECONDS_OF_LOAD=${DEMO_SECONDS:-30}
+BOARD_RATE=${DEMO_BOARD_RATE:-250}   # requests a second
+KELANI_RATE=${DEMO_KELANI_RATE:-150}
+FEEDS=${DEMO_FEEDS:-100}             # of each user
+SEED=${DEMO_SEED:-1}
+
+RUN=$(mktemp -d "${TMPDIR:-/tmp}/arbutusdock-demo.XXXXXX")
+BIN=$RUN/bin
+HELPERS=127.$((BASE + 4)).0
+PLATFORM=http://$HELPERS.1:7300
+BACKEND=http://$HELPERS.2:7400
+declare -A PID=()
+
+# Ends the processes of this run by id; the run directory is kept on a failure.
+finish() {
+	local status=$? name
+	trap - EXIT INT TERM
+	for name in "${!PID[@]}"; do kill -TERM "${PID[$name]}" 2>/dev/null || true; done
+	for _ in $(seq 30); do
+		local left=0
+		for name in "${!PID[@]}"; do kill -0 "${PID[$name]}" 2>/dev/null && left=1; done
+		[ "$left" = 0 ] && break
+		sleep 0.1
+	done
+	for name in "${!PID[@]}"; do kill -KILL "${PID[$name]}" 2>/dev/null || true; done
+	wait 2>/dev/null || true
+	if [ "$status" = 0 ]; then rm -rf "$RUN"; else echo "logs and counts: $RUN" >&2; fi
+	exit "$status"
+}
+trap finish EXIT INT TERM
+
+# start NAME COMMAND... runs a process with its output in a log file.
+start() {
+	local name=$1
+	shift
+	"$@" >"$RUN/$name.log" 2>&1 &
+	PID[$name]=$!
+}
+event() { echo "$(date +%s%3N) $*" | tee -a "$RUN/events" >&2; }
+control() { "$BIN/standin" http "$@" >/dev/null; }
+until_ok() { # COMMAND...: repeats it for up to 15 s
+	for _ in $(seq 150); do
+		"$@" >/dev/null 2>&1 && return 0
+		sleep 0.1
+	done
+	echo "timed out: $*" >&2
+	return 1
+}
+
+echo "building into $RUN" >&2
+mkdir -p "$BIN" "$RUN/keys"
+"${GO:-go}" build -o "$BIN/" ./cmd/arbutusdockd ./cmd/arbutusdock ./cmd/standin
+"$BIN/standin" generate --out "$RUN" --base "$BASE"
+"$BIN/arbutusdock" check "$RUN"/documents/*/*.toml "$RUN"/instances/*/settings.toml >"$RUN/check.log" || { cat "$RUN/check.log"; exit 1; }
+"$BIN/arbutusdock" keys ca --dir "$RUN/keys" >/dev/null
+"$BIN/arbutusdock" keys admission --dir "$RUN/keys" --id 1 >/dev/null
+# shellcheck disable=SC2046 # ids have no spaces
+"$BIN/arbutusdock" keys instance --dir "$RUN/keys" $(cut -d' ' -f1 "$RUN/instances.txt") >/dev/null
+
+start platform "$BIN/standin" platform --documents "$RUN/documents" --lag 500ms \
+	--listen "$HELPERS.1:7300" "127.$((BASE + 4)).1.1:7300" "127.$((BASE + 4)).2.1:7300"
+start backend "$BIN/standin" backend --documents "$RUN/documents" --listen "$HELPERS.2:7400" --drain-grace 6s \
+	--run counter=30ms slip=50ms alarm=20ms certificate=20ms
+until_ok control GET "$PLATFORM/control/counts"
+start fabric "$BIN/standin" fabric --documents "$RUN/documents" --platform "$PLATFORM" --control "$HELPERS.3:7400" --seed "$SEED" \
+	--public "dc1=127.$((BASE + 2)).1.1" "dc2=127.$((BASE + 2)).2.1"
+while read -r id dc ip peer; do
+	start "$id" "$BIN/arbutusdockd" "$RUN/instances/$id/settings.toml"
+	control PUT "$PLATFORM/control/instances/$id" "{\"data_centre\":\"$dc\",\"caller_ip\":\"$ip\",\"peer_addr\":\"$peer\"}"
+done <"$RUN/instances.txt"
+while read -r id _ ip _; do
+	until_ok "$BIN/standin" http GET "http://$ip:7200/v1/state"
+done <"$RUN/instances.txt"
+sleep 3 # the instances find each other and read the documents
+
+echo "load for $SECONDS_OF_LOAD s" >&2
+callers=(--documents "$RUN/documents" --duration "${SECONDS_OF_LOAD}s" --feeds "$FEEDS" --seed "$SEED"
+	--public "dc1=127.$((BASE + 2)).1.1" "dc2=127.$((BASE + 2)).2.1")
+start board "$BIN/standin" caller "${callers[@]}" --user board --local "127.$((BASE + 3)).1.1" \
+	--rate "$BOARD_RATE" --burst 3 --hosts north.board.example south.board.example --out "$RUN/board.json"
+start kelani "$BIN/standin" caller "${callers[@]}" --user kelani --local "127.$((BASE + 3)).2.1" \
+	--rate "$KELANI_RATE" --out "$RUN/kelani.json"
+
+sleep 3
+event profile "swap the weights of profile peak"
+awk '/^weight/ { $0 = (n++ ? "weight = 3" : "weight = 1") } { print }' "$RUN/documents/profile/peak.toml" >"$RUN/peak.toml"
+control PUT "$PLATFORM/v1/documents/profile/peak" "@$RUN/peak.toml"
+sleep 3
+event stop-begin dc1-2
+kill -TERM "${PID[dc1-2]}"
+control POST "$PLATFORM/control/instances/dc1-2/leave"
+wait "${PID[dc1-2]}" || event stop-failed "dc1-2 exited with status $?"
+event stop-end dc1-2
+control DELETE "$PLATFORM/control/instances/dc1-2"
+unset 'PID[dc1-2]'
+sleep 2
+event drain "counter-1-3 alarm-1-1"
+control PUT "$BACKEND/control" '{"service":"counter","target":"counter-1-3","state":"draining"}'
+control PUT "$BACKEND/control" '{"service":"alarm","target":"alarm-1-1","state":"draining"}'
+sleep 9
+event kill dc2-3
+kill -KILL "${PID[dc2-3]}"
+unset 'PID[dc2-3]'
+control DELETE "$PLATFORM/control/instances/dc2-3"
+wait "${PID[board]}"
+unset 'PID[board]'
+wait "${PID[kelani]}"
+unset 'PID[kelani]'
+
+"$BIN/standin" report --backends "$BACKEND" --callers "$RUN/board.json" "$RUN/kelani.json" --events "$RUN/events"
