telemetry, link: hyphenated log events, quoted details, one line for a series

Cause: the core names its log events with hyphens and quotes errors in details, which were split at each blank; a peer that is down caused a line for each dial. Change: all events use hyphens; Details understands quoted values; only the first failed dial of a series is a warning, the rest are debug lines. Measured: go test -race ./internal/link ./internal/telemetry passes.

--- a/internal/link/lane.go
+++ b/internal/link/lane.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -119,7 +120,7 @@
 			_, err = io.Copy(&buf, r)
 		}
 		if err != nil {
-			l.m.config.Log.Debug("link_closed", "peer", l.key.peer, "lane", laneName(l.key.lane), "error", err)
+			l.m.config.Log.Debug("link-closed", "peer", l.key.peer, "lane", laneName(l.key.lane), "error", err)
 			return
 		}
 		c.unheard.Store(0)
@@ -141,7 +142,7 @@
 	msg := new(peerwire.Message)
 	if err := peerwire.Decode(data, msg); err != nil || msg.Lane() != l.key.lane {
 		l.m.counts.malformed.Add(1)
-		l.m.config.Log.Debug("peer_message_malformed", "peer", l.key.peer, "error", err)
+		l.m.config.Log.Debug("peer-message-malformed", "peer", l.key.peer, "error", err)
 		return
 	}
 	if msg.From != l.key.peer {
@@ -227,7 +228,7 @@
 	}
 	if err := c.ws.Ping(ctx); err != nil {
 		l.m.counts.silent.Add(1)
-		l.m.config.Log.Warn("link_silent", "peer", l.key.peer, "lane", laneName(l.key.lane), "error", err)
+		l.m.config.Log.Warn("link-silent", "peer", l.key.peer, "lane", laneName(l.key.lane), "error", err)
 		l.drop(c)
 		return
 	}
@@ -293,7 +294,11 @@
 		}
 		if err := l.dial(); err != nil {
 			l.m.counts.dialFailures.Add(1)
-			l.m.config.Log.Warn("link_dial_failed", "peer", l.key.peer, "lane", laneName(l.key.lane), "error", err)
+			level := slog.LevelDebug
+			if l.backoff == 0 { // the first of a series
+				level = slog.LevelWarn
+			}
+			l.m.config.Log.Log(l.m.ctx, level, "link-dial-failed", "peer", l.key.peer, "lane", laneName(l.key.lane), "error", err)
 			l.backoff = min(max(2*l.backoff, backoffMin), backoffMax)
 			l.retryAt = time.Now().Add(jitter(l.backoff))
 			continue
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -148,7 +148,7 @@
 	data, err := peerwire.Encode(nil, msg)
 	if err != nil {
 		m.counts.malformed.Add(1)
-		m.config.Log.Warn("peer_message_not_sent", "peer", to, "kind", msg.Kind(), "error", err)
+		m.config.Log.Warn("peer-message-not-sent", "peer", to, "kind", msg.Kind(), "error", err)
 		return false
 	}
 	m.mu.Lock()
@@ -234,7 +234,7 @@
 	}
 	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
-		m.config.Log.Warn("link_accept_failed", "peer", peer, "error", err)
+		m.config.Log.Warn("link-accept-failed", "peer", peer, "error", err)
 		return
 	}
 	m.mu.Lock()
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -6,6 +6,7 @@
 import (
 	"io"
 	"log/slog"
+	"strconv"
 	"strings"
 
 	"arbutusdock.example/arbutusdock/internal/ids"
@@ -17,10 +18,20 @@
 }
 
 // Details splits the key=value words of a log detail into arguments for slog.
-// A word without "=" joins the value before it.
+// A value in double quotes is unquoted as in Go; a word without "=" joins the
+// value before it.
 func Details(detail string) []any {
 	var args []any
-	for word := range strings.FieldsSeq(detail) {
+	for detail = strings.TrimSpace(detail); detail != ""; detail = strings.TrimSpace(detail) {
+		key, rest, ok := strings.Cut(detail, "=")
+		if quoted, err := strconv.QuotedPrefix(rest); ok && err == nil && !strings.Contains(key, " ") {
+			value, _ := strconv.Unquote(quoted) // QuotedPrefix has checked it
+			args = append(args, key, value)
+			detail = rest[len(quoted):]
+			continue
+		}
+		word, more, _ := strings.Cut(detail, " ")
+		detail = more
 		key, value, ok := strings.Cut(word, "=")
 		switch {
 		case ok && key != "":
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -20,11 +20,11 @@
 func TestLogLine(t *testing.T) {
 	var out bytes.Buffer
 	log := NewLogger(&out, slog.LevelInfo, "a1")
-	log.Info("config_applied", Details("revision=7 reason=two words")...)
+	log.Info("config-applied", Details(`revision=7 error="line 4: key=x" reason=two words`)...)
 	log.Debug("hidden")
 	line := out.String()
 	assert.Equal(t, strings.Count(line, "\n"), 1)
-	assert.Assert(t, strings.HasSuffix(line, `msg=config_applied instance=a1 revision=7 reason="two words"`+"\n"), line)
+	assert.Assert(t, strings.HasSuffix(line, `msg=config-applied instance=a1 revision=7 error="line 4: key=x" reason="two words"`+"\n"), line)
 }
 
 // Guards against metrics that are missing from the page or break its JSON.
