fabric: carry the links between instances, so that data centres can be split

Cutting a data centre off needs its links to the others to stop. Each instance advertises an address of the fabric, which forwards to its peer listener with a delay between data centres; a split stops the bytes and leaves the connections open, as lost segments do.

--- a/cmd/standin/generate.go
+++ b/cmd/standin/generate.go
@@ -24,7 +24,8 @@
 // addresses. Base is the second byte of the first of five networks: instances
 // 127.B.<data centre>.<n>, backend servers 127.B+1.<data centre>.<n>, public
 // addresses 127.B+2.<data centre>.1, callers 127.B+3.<user>.<n>, stand-ins
-// 127.B+4.0.<n> and 127.B+4.<data centre>.1 for the platform.
+// 127.B+4.0.<n>, the platform 127.B+4.<data centre>.1 and the links to the
+// instances 127.B+4.<100 + data centre>.<n>.
 type generateCmd struct {
 	Examples    string   `arg:"--examples" default:"docs/examples" help:"directory of the templates"`
 	Out         string   `arg:"--out,required" help:"directory to write to"`
@@ -36,9 +37,9 @@
 }
 
 // instance is one generated instance.
-type instance struct{ id, dc, ip string }
+type instance struct{ id, dc, ip, peer string }
 
-func (i instance) peer() string { return fmt.Sprintf("%s:%d", i.ip, peerPort) }
+func (i instance) listen() string { return fmt.Sprintf("%s:%d", i.ip, peerPort) }
 
 func (c *generateCmd) run() error {
 	if len(c.Targets) == 0 {
@@ -99,19 +100,20 @@
 	return store(filepath.Join(c.Out, "documents", "service", name+".toml"), doc)
 }
 
-// instances writes the settings of all instances, and a list of them for
-// scripts: id, data centre, IP, peer address.
+// instances writes the settings of all instances, a list of them for scripts
+// (id, data centre, IP, peer address) and the links of the fabric.
 func (c *generateCmd) instances() error {
 	var all []instance
 	for dc := 1; dc <= c.DataCentres; dc++ {
 		for n := 1; n <= c.Instances; n++ {
 			all = append(all, instance{
 				id: fmt.Sprintf("dc%d-%d", dc, n), dc: fmt.Sprintf("dc%d", dc),
-				ip: fmt.Sprintf("127.%d.%d.%d", c.Base, dc, n),
+				ip:   fmt.Sprintf("127.%d.%d.%d", c.Base, dc, n),
+				peer: fmt.Sprintf("127.%d.%d.%d:%d", c.Base+4, 100+dc, n, peerPort),
 			})
 		}
 	}
-	var list strings.Builder
+	var list, links strings.Builder
 	for _, in := range all {
 		doc, err := load(filepath.Join(c.Examples, "arbutusdockd.toml"))
 		if err != nil {
@@ -119,7 +121,7 @@
 		}
 		merge(doc, "instance", map[string]any{"id": in.id, "data_centre": in.dc, "linger": c.Linger})
 		merge(doc, "service", map[string]any{"listen_ip": in.ip})
-		merge(doc, "peer", map[string]any{"listen": in.peer()})
+		merge(doc, "peer", map[string]any{"listen": in.listen(), "advertise": in.peer})
 		merge(doc, "admin", map[string]any{"listen": fmt.Sprintf("%s:%d", in.ip, adminPort)})
 		merge(doc, "platform", map[string]any{"url": fmt.Sprintf("http://127.%d.%s.1:%d", c.Base+4, strings.TrimPrefix(in.dc, "dc"), platformPort)})
 		merge(doc, "tls", map[string]any{"ca": "../../keys/ca.crt", "certificate": "../../keys/" + in.id + ".crt", "key": "../../keys/" + in.id + ".key"})
@@ -128,14 +130,18 @@
 		var seeds []map[string]any
 		for _, s := range all {
 			if s.id != in.id {
-				seeds = append(seeds, map[string]any{"id": s.id, "data_centre": s.dc, "address": s.peer()})
+				seeds = append(seeds, map[string]any{"id": s.id, "data_centre": s.dc, "address": s.peer})
 			}
 		}
 		doc["seed"] = seeds
 		if err := store(filepath.Join(c.Out, "instances", in.id, "settings.toml"), doc); err != nil {
 			return err
 		}
-		fmt.Fprintf(&list, "%s %s %s %s\n", in.id, in.dc, in.ip, in.peer())
+		fmt.Fprintf(&list, "%s %s %s %s\n", in.id, in.dc, in.ip, in.peer)
+		fmt.Fprintf(&links, "%s %s %s\n", in.dc, in.peer, in.listen())
+	}
+	if err := write(filepath.Join(c.Out, "links.txt"), []byte(links.String())); err != nil {
+		return err
 	}
 	return write(filepath.Join(c.Out, "instances.txt"), []byte(list.String()))
 }
--- a/cmd/standin/world.go
+++ b/cmd/standin/world.go
@@ -41,6 +41,7 @@
 	Poll      time.Duration `arg:"--poll" default:"100ms" help:"interval of reading the list of instances"`
 	Idle      time.Duration `arg:"--idle" default:"2m" help:"time after which an unused caller socket is closed"`
 	Seed      uint64        `arg:"--seed" default:"1"`
+	Links     string        `arg:"--links" help:"file with the links between instances: data centre, listen address, target address"`
 }
 
 func (c *fabricCmd) run(ctx context.Context) error {
@@ -56,6 +57,11 @@
 	for _, s := range services {
 		opt.Ports = append(opt.Ports, s.Port)
 	}
+	if c.Links != "" {
+		if opt.Links, err = loadLinks(c.Links); err != nil {
+			return err
+		}
+	}
 	f := fabric.New(opt)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -70,6 +76,30 @@
 	return <-failed
 }
 
+func loadLinks(file string) ([]fabric.Link, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "read links")
+	}
+	var links []fabric.Link
+	for line := range strings.Lines(string(data)) {
+		w := strings.Fields(line)
+		if len(w) != 3 {
+			return nil, eris.Errorf("links: line %q: want data centre, listen address, target address", line)
+		}
+		listen, err := netip.ParseAddrPort(w[1])
+		if err != nil {
+			return nil, eris.Wrapf(err, "links: line %q", line)
+		}
+		target, err := netip.ParseAddrPort(w[2])
+		if err != nil {
+			return nil, eris.Wrapf(err, "links: line %q", line)
+		}
+		links = append(links, fabric.Link{DataCentre: w[0], Listen: listen, Target: target})
+	}
+	return links, nil
+}
+
 type backendCmd struct {
 	Documents    string        `arg:"--documents,required" help:"directory of the service documents"`
 	DataCentre   string        `arg:"--data-centre" help:"only the targets of this data centre"`
--- a/internal/link/lane.go
+++ b/internal/link/lane.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -315,8 +316,12 @@
 	}
 	ctx, cancel := context.WithTimeout(l.m.ctx, dialTimeout)
 	defer cancel()
+	dialer := &net.Dialer{}
+	if ip := l.m.config.Source; ip.IsValid() && !ip.IsUnspecified() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(ip, 0))
+	}
 	client := &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{}).DialContext,
+		DialContext:         dialer.DialContext,
 		TLSClientConfig:     l.m.config.Credentials.client(l.key.peer),
 		TLSHandshakeTimeout: dialTimeout,
 		MaxIdleConns:        1,
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -49,6 +50,7 @@
 // Config of a Manager.
 type Config struct {
 	Self        ids.Instance
+	Source      netip.Addr // from which links are dialled; unspecified: any
 	Credentials Credentials
 	Budget      int           // control bytes a second
 	Queue       int           // messages for one peer and lane
--- a/internal/standin/fabric/fabric.go
+++ b/internal/standin/fabric/fabric.go
@@ -31,6 +31,7 @@
 	Platform string                // base URL of the platform
 	Public   map[string]netip.Addr // public IP of each data centre
 	Ports    []uint16              // UDP port of each service
+	Links    []Link                // peer listeners that are reached through the fabric
 	Poll     time.Duration         // interval at which the list of instances is read
 	Idle     time.Duration         // time after which an unused caller socket is closed
 	Seed     uint64
@@ -100,6 +101,11 @@
 			go f.receive(c, dc)
 		}
 	}
+	for _, l := range f.opt.Links {
+		if err := f.carry(ctx, l); err != nil {
+			return err
+		}
+	}
 	poll := time.NewTicker(f.opt.Poll)
 	defer poll.Stop()
 	for {
--- a/internal/standin/fabric/fabric_test.go
+++ b/internal/standin/fabric/fabric_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http/httptest"
 	"net/netip"
@@ -104,3 +105,51 @@
 	assert.Assert(t, exchange(c) != "")
 	assert.Assert(t, time.Since(began) >= 80*time.Millisecond, "the delay applies in both directions")
 }
+
+// Guards against a split that lets traffic between data centres through, loses
+// bytes when it ends, or stops the links within a data centre.
+func TestSplitStopsLinksBetweenDataCentres(t *testing.T) {
+	f := New(Options{})
+	f.byIP[netip.MustParseAddr("127.81.1.1")] = platform.Instance{ID: "a", DataCentre: "dc1"}
+	f.byIP[netip.MustParseAddr("127.81.1.2")] = platform.Instance{ID: "b", DataCentre: "dc2"}
+	ln, err := net.Listen("tcp4", "127.81.2.1:5793")
+	assert.NilError(t, err)
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	assert.NilError(t, f.carry(ctx, Link{
+		Listen: netip.MustParseAddrPort("127.81.2.2:5793"), Target: netip.MustParseAddrPort("127.81.2.1:5793"), DataCentre: "dc2",
+	}))
+	dial := func(ip string) net.Conn {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
+		c, err := d.Dial("tcp4", "127.81.2.2:5793")
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	returns := func(c net.Conn, wait time.Duration) bool {
+		_, _ = c.Write([]byte("x"))
+		_ = c.SetReadDeadline(time.Now().Add(wait))
+		_, err := c.Read(make([]byte, 1))
+		return err == nil
+	}
+	far, near := dial("127.81.1.1"), dial("127.81.1.2")
+	assert.Assert(t, returns(far, time.Second) && returns(near, time.Second))
+	f.SetFaults(Faults{SplitDataCentres: []string{"dc2"}})
+	assert.Assert(t, !returns(far, 100*time.Millisecond))
+	assert.Assert(t, returns(near, time.Second))
+	f.SetFaults(Faults{BetweenMS: 30})
+	began := time.Now()
+	assert.Assert(t, returns(far, time.Second), "the byte sent during the split arrives")
+	assert.Assert(t, returns(far, time.Second))
+	assert.Assert(t, time.Since(began) >= 30*time.Millisecond)
+}
--- a/internal/standin/fabric/faults.go
+++ b/internal/standin/fabric/faults.go
@@ -23,6 +23,9 @@
 	DelayMS        map[string]float64 `json:"delay_ms"`  // one way, between callers and a data centre
 	CutInstances   []string           `json:"cut_instances"`
 	CutDataCentres []string           `json:"cut_data_centres"`
+	// SplitDataCentres are cut off from all other data centres: their links stop.
+	SplitDataCentres []string `json:"split_data_centres"`
+	BetweenMS        float64  `json:"between_ms"` // one way, on links between data centres
 }
 
 func (f *Faults) cuts(in platform.Instance) bool {
--- /dev/null
+++ b/internal/standin/fabric/links.go
@@ -0,0 +1,148 @@
+package fabric
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// gateCheck is the interval at which a stopped link looks whether the data
+	// centres are connected again.
+	gateCheck = 20 * time.Millisecond
+	// linkQueue bounds the chunks of a link that wait for their delay.
+	linkQueue = 256
+	linkChunk = 16 << 10
+)
+
+// Link is the address at which other instances reach the peer listener of an
+// instance, so that the fabric can delay and cut what crosses data centres.
+// The source of a connection is known by its IP address, which is that of the
+// dialling instance.
+type Link struct {
+	Listen     netip.AddrPort
+	Target     netip.AddrPort
+	DataCentre string
+}
+
+// chunk is a part of a stream and the time at which it is due.
+type chunk struct {
+	data []byte
+	due  time.Time
+}
+
+// carry accepts connections to a link until ctx ends.
+func (f *Fabric) carry(ctx context.Context, l Link) error {
+	ln, err := net.Listen("tcp4", l.Listen.String())
+	if err != nil {
+		return eris.Wrapf(err, "listen for the link to %s", l.Target)
+	}
+	go func() {
+		<-ctx.Done()
+		_ = ln.Close()
+	}()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go f.join(ctx, c, l)
+		}
+	}()
+	return nil
+}
+
+// join connects an accepted connection with the target of the link.
+func (f *Fabric) join(ctx context.Context, from net.Conn, l Link) {
+	defer func() { _ = from.Close() }()
+	source, _ := netip.ParseAddrPort(from.RemoteAddr().String())
+	f.mu.Lock()
+	dc := f.byIP[source.Addr().Unmap()].DataCentre
+	f.mu.Unlock()
+	if !f.gate(ctx, dc, l.DataCentre) {
+		return
+	}
+	to, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp4", l.Target.String())
+	if err != nil {
+		return
+	}
+	defer func() { _ = to.Close() }()
+	done := make(chan struct{}, 2)
+	copyTo := func(dst, src net.Conn) {
+		f.stream(ctx, dst, src, dc, l.DataCentre)
+		done <- struct{}{}
+	}
+	go copyTo(to, from)
+	go copyTo(from, to)
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// stream copies src to dst with the delay between the data centres. While they
+// are cut off from each other nothing moves and the connection stays open, as
+// it is with lost segments.
+func (f *Fabric) stream(ctx context.Context, dst io.Writer, src io.Reader, a, b string) {
+	queue := make(chan chunk, linkQueue)
+	go func() {
+		defer close(queue)
+		for {
+			buf := make([]byte, linkChunk)
+			n, err := src.Read(buf)
+			if n > 0 {
+				queue <- chunk{data: buf[:n], due: time.Now().Add(f.between(a, b))}
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	for c := range queue {
+		time.Sleep(time.Until(c.due))
+		if !f.gate(ctx, a, b) {
+			break
+		}
+		if _, err := dst.Write(c.data); err != nil {
+			break
+		}
+	}
+	go func() {
+		for range queue { // unblocks the reader until its connection is closed
+		}
+	}()
+}
+
+func (f *Fabric) between(a, b string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if a == b || a == "" {
+		return 0
+	}
+	return time.Duration(f.faults.BetweenMS * float64(time.Millisecond))
+}
+
+// gate waits until the data centres are connected. It returns false when ctx
+// ends.
+func (f *Fabric) gate(ctx context.Context, a, b string) bool {
+	for {
+		f.mu.Lock()
+		split := a != b && a != "" &&
+			(slices.Contains(f.faults.SplitDataCentres, a) || slices.Contains(f.faults.SplitDataCentres, b))
+		f.mu.Unlock()
+		if !split {
+			return ctx.Err() == nil
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(gateCheck):
+		}
+	}
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -73,7 +73,9 @@
 	--run counter=30ms slip=50ms alarm=20ms certificate=20ms
 until_ok control GET "$PLATFORM/control/counts"
 start fabric "$BIN/standin" fabric --documents "$RUN/documents" --platform "$PLATFORM" --control "$HELPERS.3:7400" --seed "$SEED" \
+	--links "$RUN/links.txt" \
 	--public "dc1=127.$((BASE + 2)).1.1" "dc2=127.$((BASE + 2)).2.1"
+until_ok control PUT "http://$HELPERS.3:7400/faults" '{"delay_ms":{"dc1":1,"dc2":1},"between_ms":0.5}'
 while read -r id dc ip peer; do
 	start "$id" "$BIN/arbutusdockd" "$RUN/instances/$id/settings.toml"
 	control PUT "$PLATFORM/control/instances/$id" "{\"data_centre\":\"$dc\",\"caller_ip\":\"$ip\",\"peer_addr\":\"$peer\"}"
