--- a/internal/standin/report/report.go
+++ b/internal/standin/report/report.go
@@ -112,11 +112,13 @@
 	for _, b := range in.Backends {
 		maps.Copy(runs, b.Runs)
 		for name, t := range b.Targets {
-			for range t.Foreign {
-				v.add(&v.Crossed, "crossed: request of another service at %s", name)
+			if t.Foreign > 0 {
+				v.Crossed += t.Foreign - 1
+				v.add(&v.Crossed, "crossed: %d requests of another service at %s", t.Foreign, name)
 			}
-			for range t.LateWork + t.FeedsCut {
-				v.add(&v.LateWork, "draining backend server: new work or open feed at %s after its grace period", name)
+			if n := t.LateWork + t.FeedsCut; n > 0 {
+				v.LateWork += n - 1
+				v.add(&v.LateWork, "draining backend server %s: %d times new work late in the drain, %d feeds open at its end", name, t.LateWork, t.FeedsCut)
 			}
 		}
 	}
--- a/internal/standin/report/report_test.go
+++ b/internal/standin/report/report_test.go
@@ -20,7 +20,7 @@
 	assert.NilError(t, err)
 	in := Input{Events: events}
 	in.Backends = []wire.BackendCounts{{
-		Targets: map[string]wire.TargetCounts{"counter/c1": {Service: "counter", Foreign: 1}},
+		Targets: map[string]wire.TargetCounts{"counter/c1": {Service: "counter", Foreign: 2}},
 		Runs: map[string]wire.Run{
 			"counter.a.1.1": {Count: 1, Post: true}, "counter.a.1.2": {Count: 1, Post: true}, // two attempts of one claim
 			"counter.a.2.1": {Count: 3}, // a GET may run again
@@ -41,7 +41,7 @@
 		},
 	}}
 	v := Judge(in)
-	assert.Equal(t, v.Line(), "broken_flows=3 crossed=1 doubled=1 lost_answers=1 false_refusals=1 cut_by_planned_stop=2")
+	assert.Equal(t, v.Line(), "broken_flows=3 crossed=2 doubled=1 lost_answers=1 false_refusals=1 cut_by_planned_stop=2")
 	assert.Equal(t, v.AllowedBreaks, 1)
 	assert.Assert(t, !v.OK())
 }
