core: compose requests, tokens, queueing, relays, feeds and lifecycle

Cause: the daemon, the experiments and the tests need one deterministic decision core for the design's sections 2.2 to 2.9.

--- /dev/null
+++ b/internal/core/relay.go
@@ -0,0 +1,112 @@
+package core
+
+import (
+	"encoding/binary"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
+	"arbutusdock.example/arbutusdock/internal/peerwire"
+	"arbutusdock.example/arbutusdock/internal/spread"
+)
+
+// relay hands the datagram of a over to another instance, which responds to
+// the caller directly.
+func (c *Core) relay(a *arrival, to ids.Instance) {
+	c.forward(a.svc, a.caller, a.m.Raw, a.hops, a.trace, to)
+}
+
+func (c *Core) forward(s *service, caller ids.Endpoint, datagram []byte, hops uint8, trace uint64, to ids.Instance) {
+	b := c.peer(s)
+	binary.BigEndian.PutUint64(b.trace[:], trace)
+	b.relay = peerwire.Relay{
+		Service: s.name, Caller: b.address(caller), Datagram: datagram, Hops: hops + 1, Trace: b.trace[:],
+	}
+	b.message.Relay = &b.relay
+	if p := s.peer(to); p != nil && p.free > 0 {
+		p.free-- // until the next report, so that one free slot is not used twice
+	}
+	c.send(to, b)
+	c.counts.Relayed++
+	c.span(Relayed, s, trace, c.now)
+}
+
+// offerSlots tells the co-owner with the longest known backlog about free
+// slots that nothing waits for here.
+func (c *Core) offerSlots(s *service) {
+	if !c.accepting() || s.queues[spread.Short].Len() > 0 {
+		return
+	}
+	free := s.pool.Free(spread.Short)
+	if free <= 0 {
+		return
+	}
+	var best *peer
+	for i := range s.peers {
+		p := &s.peers[i]
+		if p.backlog > 0 && c.now.Sub(p.heard) <= beliefFor && (best == nil || p.backlog > best.backlog) {
+			best = p
+		}
+	}
+	if best == nil {
+		return
+	}
+	count := min(free, best.backlog)
+	best.backlog -= count
+	b := c.peer(s)
+	b.slotFree = peerwire.SlotFree{Service: s.name, Count: uint16(count)}
+	b.message.SlotFree = &b.slotFree
+	c.send(best.id, b)
+}
+
+// slotFree relays queued requests to an instance that has free slots. Admitted
+// requests stay: only the incarnation that their token names may run them.
+func (c *Core) slotFree(from ids.Instance, m *peerwire.SlotFree) {
+	s := c.services[m.Service]
+	if s == nil {
+		return
+	}
+	left := int(m.Count)
+	s.queues[spread.Short].RemoveIf(func(r *request) bool {
+		if left == 0 || r.isAdmitted || r.hops >= maxHops || c.now >= r.deadline {
+			return false
+		}
+		left--
+		return true
+	}, func(r *request) { c.handOn(r, from) })
+}
+
+// handOn relays a request that was taken out of its queue.
+func (c *Core) handOn(r *request, to ids.Instance) {
+	r.svc.partners[r.partner].queued[r.class]--
+	c.forward(r.svc, r.caller, r.raw, r.hops, r.trace, to)
+	c.drop(r)
+}
+
+// tellLoad reports the load of this instance to instances that would otherwise
+// rely on an old report: those that relay to it while it has no free slot, and
+// while requests wait some that may have free slots.
+func (c *Core) tellLoad(s *service) {
+	if c.now.Sub(s.told) < tellEvery || len(s.peers) == 0 || s.owned() == 0 {
+		return
+	}
+	free, backlog := s.pool.Free(spread.Short), s.backlog()
+	if free > 0 && backlog == 0 {
+		return
+	}
+	sent, start := 0, c.rng.IntN(len(s.peers))
+	for i := range min(len(s.peers), scanPeers) {
+		p := &s.peers[(start+i)%len(s.peers)]
+		relays := c.now.Sub(p.relayed) < 2*tellEvery && p.relayed != 0
+		waits := p.backlog > 0 && c.now.Sub(p.heard) <= beliefFor
+		if sent == tellPeers || !relays && (backlog == 0 || waits) {
+			continue
+		}
+		b := c.peer(s)
+		b.slotFree = peerwire.SlotFree{Service: s.name} // only carries the load
+		b.message.SlotFree = &b.slotFree
+		c.send(p.id, b)
+		sent++
+	}
+	if sent > 0 {
+		s.told = c.now
+	}
+}
--- /dev/null
+++ b/internal/core/tick.go
@@ -0,0 +1,194 @@
+package core
+
+import (
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
+	"arbutusdock.example/arbutusdock/internal/member"
+	"arbutusdock.example/arbutusdock/internal/peerwire"
+	"arbutusdock.example/arbutusdock/internal/spread"
+)
+
+const (
+	// askPeersFirst is the time for which a joining instance waits for the
+	// configuration of a peer before it reads the platform.
+	askPeersFirst = time.Second
+	// joinStale is the time after which a joining instance serves the newest
+	// configuration that it has found, even if that may be stale.
+	joinStale = 3 * time.Second
+	// evictions bounds the expired entries removed from each table in a tick.
+	evictions = 256
+)
+
+// joining is the progress from joining to serving.
+type joining struct {
+	since ids.Time
+	fresh bool // a peer or the platform has confirmed the configuration
+}
+
+// Tick advances all timers. It is called every 10 ms.
+func (c *Core) Tick(now ids.Time, out *Effects) {
+	c.begin(now, out)
+	if c.exited {
+		return
+	}
+	if c.tick == 0 {
+		c.joining.since = c.now
+	}
+	c.tick = c.now
+	c.view.Tick(c.now, c.sendPeer)
+	c.checkMembers()
+	c.checkJoined()
+	c.readConfig()
+	c.table.Tick(c.now, c.checkDue)
+	c.tickServices()
+	// In reverse, as drop moves the last element to the removed place. Timers
+	// only drop the request that they are called for, or queued ones.
+	for i := len(c.live) - 1; i >= 0; i-- {
+		if i < len(c.live) {
+			c.checkRequest(c.live[i])
+		}
+	}
+	c.retransmit()
+	c.feeds.Sweep(c.feeds.Len()/sweepParts+1, c.sweepFeed)
+	c.admissions.Evict(c.now, evictions)
+	c.blocks.Evict(c.now, evictions)
+	c.ackRoutes.Evict(c.now, evictions)
+	c.tickStop()
+}
+
+// checkMembers brings a changed list of serving instances into force.
+func (c *Core) checkMembers() {
+	if run, ok := c.view.Superseded(); ok {
+		// A later process with the same id runs. Serving on would give one
+		// slot two owners for good.
+		c.log("superseded", "incarnation="+decimal(uint64(run)))
+		c.leave()
+		return
+	}
+	if c.view.Changed() {
+		c.members()
+	}
+}
+
+func (c *Core) members() {
+	c.generation++
+	for _, m := range c.view.Members() {
+		if m.ID != c.self.ID && m.Incarnation > c.runs[m.ID] {
+			c.runs[m.ID] = m.Incarnation
+		}
+	}
+	serving := c.view.Serving()
+	if c.stop.phase == running {
+		c.table.SetInstances(c.now, serving)
+	} else {
+		c.routes.SetInstances(c.now, c.others())
+	}
+	c.chooseWatcher()
+	for _, s := range c.busy {
+		c.refresh(s)
+	}
+}
+
+// others returns the serving instances except this one.
+func (c *Core) others() []ids.Instance {
+	var list []ids.Instance
+	for _, id := range c.view.Serving() {
+		if id != c.self.ID {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// checkJoined ends joining once the view and the configuration are current.
+func (c *Core) checkJoined() {
+	if c.view.State() != peerwire.Joining || c.stop.phase != running || !c.view.Synced() {
+		return
+	}
+	stale := c.store.Revision() > 0 && c.now.Sub(c.joining.since) >= joinStale
+	if (c.joining.fresh || stale) && c.view.Fire(member.Ready) {
+		c.log("serving", "revision="+decimal(uint64(c.store.Revision())))
+		c.members()
+	}
+}
+
+// resume handles the end of a pause: peers have taken this instance for gone,
+// so its view, its slots and its configuration may be out of date.
+func (c *Core) resume() {
+	pause := c.now.Sub(c.tick)
+	c.tick = c.now
+	c.counts.Pauses++
+	c.log("resumed", "pause="+pause.String())
+	if c.stop.phase == running {
+		c.view.Fire(member.Resume)
+		c.joining = joining{since: c.now}
+		c.reader.next = 0
+		c.members()
+	}
+	for _, s := range c.busy {
+		c.expireQueues(s)
+	}
+}
+
+func (c *Core) expireQueues(s *service) {
+	for class := range s.queues {
+		if q := &s.queues[class]; q.Len() > 0 {
+			q.RemoveIf(c.queueExpiry, c.queueExpire)
+		}
+	}
+}
+
+// tickServices advances the services that have work.
+func (c *Core) tickServices() {
+	for i := 0; i < len(c.busy); {
+		s := c.busy[i]
+		c.refresh(s)
+		if s.backlog() > 0 {
+			c.expireQueues(s)
+			if s.removed || s.owned() == 0 {
+				c.evacuate(s)
+			}
+		}
+		c.dispatch(s)
+		c.tellLoad(s)
+		if s.backlog() == 0 && len(s.pinned) == 0 && c.now.Sub(s.lastWork) > idleAfter {
+			s.busy = false
+			last := len(c.busy) - 1
+			c.busy[i], c.busy[last] = c.busy[last], nil
+			c.busy = c.busy[:last]
+			continue
+		}
+		i++
+	}
+}
+
+// evacuate empties the queues of a service of which no slot is owned any more:
+// requests are relayed to their home, or rejected as not run.
+func (c *Core) evacuate(s *service) {
+	for class := range s.queues {
+		s.queues[class].RemoveIf(func(*request) bool { return true }, func(r *request) {
+			home, ok := c.home(s, r.hash)
+			if ok && !s.removed && home != c.self.ID && !r.isAdmitted && r.attempts == 0 && r.hops < maxHops {
+				c.handOn(r, home)
+				return
+			}
+			c.rejectQueued(r)
+		})
+	}
+}
+
+// Health handles the result of a health check.
+func (c *Core) Health(now ids.Time, e *HealthEvent, out *Effects) {
+	c.begin(now, out)
+	s := c.services[e.Service]
+	if s == nil || c.exited {
+		return
+	}
+	c.refresh(s)
+	if s.pool == nil {
+		return
+	}
+	s.pool.Health(c.now, spread.Health{Target: e.Target, Healthy: e.Healthy, Draining: e.Draining, Load: e.Load, Took: e.Took})
+	c.dispatch(s)
+}
--- a/internal/flow/feed.go
+++ b/internal/flow/feed.go
@@ -66,6 +66,10 @@
 	return true
 }
 
+// Same reports whether v is the latest Observe value. A backend server may
+// repeat it in response to a repeated registration.
+func (u *Upstream) Same(v uint32) bool { return u.heard != 0 && u.observe == v }
+
 func sequenceNewer(old, v uint32) bool {
 	d := (v - old) & sequenceMask
 	return d != 0 && d < 1<<23
@@ -100,6 +104,7 @@
 	Asked     ids.Time     // when it was asked last
 	MovedFrom ids.Instance // old home that waits for FeedMoved
 	Created   ids.Time
+	Checked   ids.Time // last confirmable notification
 	flow      *shared
 	index     int
 }
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -28,7 +28,7 @@
 // Add enters a feed for the registration datagram request, which it copies.
 // No feed with key k may exist.
 func (t *Table) Add(now ids.Time, k Key, request []byte) *Feed {
-	f := &Feed{Key: k, Request: append([]byte(nil), request...), index: len(t.list), Created: now, Heard: now}
+	f := &Feed{Key: k, Request: append([]byte(nil), request...), index: len(t.list), Created: now, Heard: now, Checked: now}
 	s := t.flows[k.FlowKey]
 	if s == nil {
 		s = &shared{nextID: startID(now)}
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -87,3 +87,9 @@
 
 // State returns the lifecycle state of this instance.
 func (v *View) State() peerwire.Lifecycle { return v.self.Lifecycle }
+
+// Superseded returns the incarnation of a later process with the same id.
+func (v *View) Superseded() (ids.Incarnation, bool) { return 0, false }
+
+// Members returns all known members.
+func (v *View) Members() []peerwire.Member { return nil }
--- a/internal/peerwire/peerwire.go
+++ b/internal/peerwire/peerwire.go
@@ -132,11 +132,13 @@
 }
 
 // AckRoute asks the home of a caller to relay the ACK or RST with message id
-// ID to the sender.
+// ID to the sender or, when Path is not 0, the follow-up blocks of the
+// Block-wise transfer of Path.
 type AckRoute struct {
 	Service ids.Service `cbor:"1,keyasint"`
 	Caller  string      `cbor:"2,keyasint"`
 	ID      uint16      `cbor:"3,keyasint"`
+	Path    uint64      `cbor:"4,keyasint,omitempty"` // message.Message.Path
 }
 
 // FeedMove hands one feed over to its new home.
