Add the daemon, its admin interface and the operators' tool

Cause: the core needs sockets, links, timers and an operator interface. Change: internal/daemon runs the core in one goroutine joined by bounded rings to socket readers and writers, links, health checks on a worker pool, platform reads and the admin interface. cmd/arbutusdockd is the daemon, cmd/arbutusdock has check, show, explain, dryrun and keys. core.Services, Revision and Details expose what they show. docs/operations.md lists log events, metrics and faults. The end-to-end test waits for the configuration store.

--- /dev/null
+++ b/cmd/arbutusdock/admin.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	adminTimeout = 5 * time.Second
+	maxAdminBody = 64 << 20 // state of an instance with 2,500 members and all its targets
+)
+
+// query reads path of the admin interface at address into body.
+func query(address, path string, values url.Values, body any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), adminTimeout)
+	defer cancel()
+	target := (&url.URL{Scheme: "http", Host: address, Path: path, RawQuery: values.Encode()}).String()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return eris.Wrapf(err, "admin interface %s", address)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return eris.Wrapf(err, "admin interface %s", address)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAdminBody))
+	if err != nil {
+		return eris.Wrapf(err, "admin interface %s: read body", address)
+	}
+	if response.StatusCode != http.StatusOK {
+		var problem struct{ Error string }
+		_ = json.Unmarshal(data, &problem) // the status alone is reported otherwise
+		return eris.Errorf("admin interface %s: status %d %s", address, response.StatusCode, problem.Error)
+	}
+	return eris.Wrapf(json.Unmarshal(data, body), "admin interface %s: decode body", address)
+}
--- /dev/null
+++ b/cmd/arbutusdock/check.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/rotisserie/eris"
+
+	"arbutusdock.example/arbutusdock/internal/config"
+	"arbutusdock.example/arbutusdock/internal/settings"
+)
+
+// maxDocument is the largest value that the platform holds, in bytes.
+const maxDocument = 1 << 20
+
+type checkCommand struct {
+	Kind  string   `arg:"--kind" default:"auto" help:"profile, service, settings or auto (from the keys of the file)"`
+	Files []string `arg:"positional,required" help:"files to check; a document is named after its file" placeholder:"FILE"`
+}
+
+func (c *checkCommand) run(out io.Writer) error {
+	faulty := 0
+	for _, file := range c.Files {
+		faults, err := c.check(file)
+		if err != nil {
+			return err
+		}
+		for _, f := range faults {
+			_, _ = fmt.Fprintf(out, "%s: %s\n", file, f)
+		}
+		if len(faults) > 0 {
+			faulty++
+		} else {
+			_, _ = fmt.Fprintf(out, "%s: no faults\n", file)
+		}
+	}
+	if faulty > 0 {
+		return errReported
+	}
+	return nil
+}
+
+// check returns the faults of one file.
+func (c *checkCommand) check(file string) ([]string, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "check: read file")
+	}
+	kind := c.Kind
+	if kind == "auto" {
+		kind = guessKind(data)
+	}
+	if kind != "settings" && len(data) > maxDocument {
+		return []string{fmt.Sprintf("%d bytes, the platform holds at most %d", len(data), maxDocument)}, nil
+	}
+	name := strings.TrimSuffix(filepath.Base(file), ".toml")
+	switch kind {
+	case "settings":
+		_, err = settings.Parse(data)
+	case "service":
+		_, err = config.ParseService(name, data)
+	case "profile":
+		_, err = config.ParseProfile(name, data)
+	default:
+		return nil, eris.Errorf("check: unknown kind %q, must be profile, service, settings or auto", kind)
+	}
+	return faultLines(err), nil
+}
+
+// guessKind tells the kind of a file from its top-level keys. A file that is
+// not valid TOML has the same syntax faults as any kind.
+func guessKind(data []byte) string {
+	var top map[string]any
+	_ = toml.Unmarshal(data, &top)
+	switch {
+	case top["instance"] != nil || top["tls"] != nil || top["platform"] != nil:
+		return "settings"
+	case top["target"] != nil || top["targets"] != nil || top["profile"] != nil || top["port"] != nil:
+		return "service"
+	}
+	return "profile"
+}
+
+// faultLines returns one line for each fault in err.
+func faultLines(err error) []string {
+	switch e := err.(type) {
+	case nil:
+		return nil
+	case settings.Faults:
+		lines := make([]string, len(e))
+		for i, f := range e {
+			lines[i] = f.Error()
+		}
+		return lines
+	case interface{ Unwrap() []error }:
+		var lines []string
+		for _, one := range e.Unwrap() {
+			lines = append(lines, faultLines(one)...)
+		}
+		return lines
+	}
+	return strings.Split(strings.TrimSpace(err.Error()), "\n")
+}
--- /dev/null
+++ b/cmd/arbutusdock/explain.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/url"
+	"text/tabwriter"
+
+	"arbutusdock.example/arbutusdock/internal/core"
+)
+
+type explainCommand struct {
+	Admin   string `arg:"--admin" default:"127.0.0.1:7201" help:"admin address of the instance that receives the request" placeholder:"IP:PORT"`
+	Service string `arg:"--service,required" help:"service name"`
+	Caller  string `arg:"--caller" default:"127.0.0.1:5683" help:"endpoint of the caller" placeholder:"IP:PORT"`
+	Method  string `arg:"--method" default:"GET" help:"CoAP method"`
+	Path    string `arg:"--path" help:"Uri-Path"`
+	Host    string `arg:"--host" help:"Uri-Host"`
+	JSON    bool   `arg:"--json" help:"print JSON"`
+}
+
+func (c *explainCommand) run(out io.Writer) error {
+	values := url.Values{"service": {c.Service}, "caller": {c.Caller}, "method": {c.Method}, "path": {c.Path}, "host": {c.Host}}
+	var x core.Explanation
+	if err := query(c.Admin, "/v1/explain", values, &x); err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(out, x)
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	row := func(name string, value any) { _, _ = fmt.Fprintf(w, "%s\t%v\n", name, value) }
+	if !x.Known {
+		row("reason", x.Reason)
+		return w.Flush()
+	}
+	row("action", x.Action)
+	row("instance", x.Instance)
+	row("reason", x.Reason)
+	row("home of the caller", x.Home)
+	row("partner", orNone(string(x.Partner)))
+	row("class", x.Class)
+	row("idempotent", x.Idempotent)
+	return w.Flush()
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "(none)"
+	}
+	return s
+}
+
+func printJSON(out io.Writer, v any) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(v)
+}
--- /dev/null
+++ b/cmd/arbutusdockd/main.go
@@ -0,0 +1,98 @@
+// Command arbutusdockd runs one entry instance of the load balancer.
+//
+// Exit codes:
+//
+//	0  graceful shutdown complete
+//	1  failure at run time, such as an address that is in use
+//	2  wrong usage, or settings or key files at fault
+//	3  terminated by a second signal during the graceful shutdown
+//
+// SIGTERM or SIGINT starts the graceful shutdown; a second one ends the
+// process at once.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"arbutusdock.example/arbutusdock/internal/daemon"
+	"arbutusdock.example/arbutusdock/internal/settings"
+)
+
+const (
+	exitStopped = iota
+	exitFailed
+	exitUsage
+	exitForced
+)
+
+type arguments struct {
+	Settings string `arg:"positional,required" help:"settings file (TOML), see docs/examples/arbutusdockd.toml" placeholder:"SETTINGS"`
+}
+
+func (arguments) Description() string {
+	return "arbutusdockd runs one entry instance of the arbutusdock layer-4 load balancer."
+}
+
+func (arguments) Epilogue() string {
+	return "Exit codes: 0 graceful shutdown complete, 1 failure at run time, 2 wrong usage or settings, 3 terminated by a second signal."
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var a arguments
+	parser, err := arg.NewParser(arg.Config{Program: "arbutusdockd"}, &a)
+	if err != nil {
+		return report(exitFailed, err)
+	}
+	switch err := parser.Parse(os.Args[1:]); {
+	case errors.Is(err, arg.ErrHelp):
+		parser.WriteHelp(os.Stdout)
+		return exitStopped
+	case err != nil:
+		return report(exitUsage, err)
+	}
+	s, err := settings.Load(a.Settings)
+	if err != nil {
+		return report(exitUsage, err)
+	}
+	d, err := daemon.New(s, os.Stdout, os.Stderr)
+	if err != nil {
+		if errors.Is(err, daemon.ErrKeyFiles) {
+			return report(exitUsage, err)
+		}
+		return report(exitFailed, err)
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		d.Stop()
+		<-signals
+		os.Exit(exitForced)
+	}()
+	if err := d.Run(context.Background()); err != nil {
+		return report(exitFailed, err)
+	}
+	return exitStopped
+}
+
+// report prints err, one line for each fault of a settings file.
+func report(code int, err error) int {
+	var faults settings.Faults
+	if errors.As(err, &faults) {
+		for _, f := range faults {
+			fmt.Fprintln(os.Stderr, "arbutusdockd: settings:", f)
+		}
+		return code
+	}
+	fmt.Fprintln(os.Stderr, "arbutusdockd:", err)
+	return code
+}
