--- a/Makefile
+++ b/Makefile
@@ -15,3 +15,6 @@
 
 demo:
 	GO=$(GO) scripts/demo.sh
+
+experiment:
+	$(GO) run ./cmd/experiment --out docs/experiments
--- a/cmd/arbutusdockd/main.go
+++ b/cmd/arbutusdockd/main.go
@@ -33,7 +33,7 @@
 )
 
 type arguments struct {
-	Settings string `arg:"--settings,required" help:"settings file (TOML), see docs/examples/arbutusdockd.toml" placeholder:"FILE"`
+	Settings string `arg:"positional,required" help:"settings file (TOML), see docs/examples/arbutusdockd.toml" placeholder:"SETTINGS"`
 }
 
 func (arguments) Description() string {
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -40,9 +40,15 @@
 	return true
 }
 
+// State is the body of /v1/state.
+type State struct {
+	core.Snapshot
+	Details []core.ServiceDetail
+}
+
 func (d *Daemon) serveState(w http.ResponseWriter, r *http.Request) {
-	var state core.Snapshot
-	if !d.ask(r.Context(), func() { state = d.core.Snapshot() }) {
+	var state State
+	if !d.ask(r.Context(), func() { state = State{Snapshot: d.core.Snapshot(), Details: d.core.Details()} }) {
 		fault(w, http.StatusServiceUnavailable, "the core did not respond in time")
 		return
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -234,7 +234,8 @@
 func (d *Daemon) Stop() { d.stopOnce.Do(func() { close(d.stop) }) }
 
 // Run serves until the graceful shutdown is complete (nil), ctx ends (its
-// error) or a fixed listener fails.
+// error), a fixed listener fails, or a later process with the same instance id
+// takes over.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.log.Info("started", "incarnation", d.self.Incarnation, "data_centre", d.self.DataCentre,
 		"peer", d.self.PeerAddr, "admin", d.admin.Addr())
@@ -251,6 +252,9 @@
 	var err error
 	select {
 	case <-done:
+		if !d.loop.stopping {
+			err = eris.New("the instance was superseded by a later process with its id")
+		}
 	case <-ctx.Done():
 		err = ctx.Err()
 	case err = <-failed:
@@ -286,7 +290,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	if err := d.tracer.Close(ctx); err != nil {
-		d.log.Warn("trace_export_failed", "error", err)
+		d.log.Warn("trace-export-failed", "error", err)
 	}
 	if d.traces != nil {
 		d.traces.Close()
--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -50,7 +50,7 @@
 	var err error
 	if p.data, err = message.Encode(p.data, &e.Out); err != nil {
 		l.unsent.Add(1)
-		l.d.log.Warn("datagram_not_encoded", "service", e.Service, "to", e.Endpoint, "error", err)
+		l.d.log.Warn("datagram-not-encoded", "service", e.Service, "to", e.Endpoint, "error", err)
 		p.release()
 		return nil
 	}
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"net/netip"
+	"slices"
 	"time"
 
 	"arbutusdock.example/arbutusdock/internal/config"
@@ -58,21 +59,10 @@
 	return netip.AddrPortFrom(ip, s.Port)
 }
 
-// apply opens and closes sockets so that each of services has one. When two
-// services name the same address the first in order of name has it; datagrams
-// must never reach the other one. It reports whether a bind is to be repeated.
+// apply opens and closes sockets so that each of services has one.
 func (l *listeners) apply(now time.Time, services []config.Service) {
 	l.retryAt = time.Time{}
-	wanted := make(map[netip.AddrPort]ids.Service, len(services))
-	for i := range services {
-		s := &services[i]
-		at := l.address(s)
-		if first, taken := wanted[at]; taken {
-			l.log.Error("service_address_conflict", "service", s.Name, "address", at, "used_by", first)
-			continue
-		}
-		wanted[at] = s.Name
-	}
+	wanted := l.resolve(services)
 	clear(l.byService)
 	for at, o := range l.open {
 		if _, used := wanted[at]; !used && o.unused.IsZero() {
@@ -85,19 +75,45 @@
 	}
 }
 
+// resolve returns the service of each address. When several services name one
+// address, the one that holds it keeps it; if none does, none gets it: another
+// instance may serve the address for any of them, and its datagrams must not
+// reach a different service here.
+func (l *listeners) resolve(services []config.Service) map[netip.AddrPort]ids.Service {
+	claims := make(map[netip.AddrPort][]ids.Service, len(services))
+	for i := range services {
+		at := l.address(&services[i])
+		claims[at] = append(claims[at], services[i].Name)
+	}
+	wanted := make(map[netip.AddrPort]ids.Service, len(claims))
+	for at, names := range claims {
+		if len(names) == 1 {
+			wanted[at] = names[0]
+			continue
+		}
+		served := "none"
+		if o := l.open[at]; o != nil && o.unused.IsZero() && slices.Contains(names, o.service) {
+			wanted[at] = o.service
+			served = string(o.service)
+		}
+		l.log.Error("service-address-conflict", "address", at, "services", names, "served", served)
+	}
+	return wanted
+}
+
 func (l *listeners) use(now time.Time, at netip.AddrPort, service ids.Service) {
 	o := l.open[at]
 	if o == nil {
 		s, err := openSocket(at, &service, l.in, l.writes, l.counts)
 		if err != nil {
-			l.log.Error("service_socket_failed", "service", service, "address", at, "error", err)
+			l.log.Error("service-socket-failed", "service", service, "address", at, "error", err)
 			l.retryAt = now.Add(reopenAfter)
 			return
 		}
 		o = &listener{at: at, socket: s}
 		l.open[at] = o
 		l.metrics.Ring(ringName(at), s.out.Stats)
-		l.log.Info("service_socket_opened", "service", service, "address", at)
+		l.log.Info("service-socket-opened", "service", service, "address", at)
 	}
 	o.service, o.unused = service, time.Time{}
 	o.socket.service.Store(&service)
@@ -124,7 +140,7 @@
 	}
 	l.metrics.RemoveRing(ringName(at))
 	go o.socket.close() // waits for its goroutines
-	l.log.Info("service_socket_closed", "service", o.service, "address", at)
+	l.log.Info("service-socket-closed", "service", o.service, "address", at)
 }
 
 // send sends p from the address of its service. It reports false when the
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -29,12 +29,17 @@
 type loop struct {
 	d       *Daemon
 	effects core.Effects
+	// Events are kept here, so that no call of the core allocates one.
+	caller  core.CallerEvent
+	backend core.BackendEvent
 	relayed message.Message // decoded datagram of a Relay
 	ticked  ids.Time
 	exit    bool
+	// stopping tells that the graceful shutdown has started.
+	stopping bool
 
-	generation uint64 // of the services that the listeners serve
-	services   []config.Service
+	revision ids.Revision // of the services that the listeners serve
+	services []config.Service
 
 	decisions   *hdrhistogram.Histogram // nanoseconds, since the last publication
 	publishedAt time.Time
@@ -82,14 +87,12 @@
 		case <-ticker.C:
 			l.tick()
 		case p := <-l.d.callers.Out():
-			l.do(func(now ids.Time) {
-				l.d.core.Caller(now, &core.CallerEvent{Service: p.service, Caller: p.peer, Message: &p.message}, &l.effects)
-			})
+			l.caller = core.CallerEvent{Service: p.service, Caller: p.peer, Message: &p.message}
+			l.do(func(now ids.Time) { l.d.core.Caller(now, &l.caller, &l.effects) })
 			p.release()
 		case p := <-l.d.backends.Out():
-			l.do(func(now ids.Time) {
-				l.d.core.Backend(now, &core.BackendEvent{From: p.peer, Message: &p.message}, &l.effects)
-			})
+			l.backend = core.BackendEvent{From: p.peer, Message: &p.message}
+			l.do(func(now ids.Time) { l.d.core.Backend(now, &l.backend, &l.effects) })
 			p.release()
 		case m := <-l.d.messages.Out():
 			l.peer(m)
@@ -98,8 +101,8 @@
 		case query := <-l.d.queries:
 			query()
 		case <-stop:
-			stop = nil
-			l.d.log.Info("shutdown_started")
+			stop, l.stopping = nil, true
+			l.d.log.Info("shutdown-started")
 			l.do(func(now ids.Time) { l.d.core.Stop(now, &l.effects) })
 		}
 	}
@@ -133,7 +136,7 @@
 	defer func() {
 		if p := recover(); p != nil {
 			l.panics.Add(1)
-			l.d.log.Error("core_panic", "panic", p, "stack", string(debug.Stack()))
+			l.d.log.Error("core-panic", "panic", p, "stack", string(debug.Stack()))
 		}
 	}()
 	l.effects.Reset()
@@ -176,8 +179,8 @@
 
 // reconfigure opens and closes service sockets after a configuration change.
 func (l *loop) reconfigure() {
-	if g := l.d.core.ServicesChanged(); g != l.generation {
-		l.generation = g
+	if r := l.d.core.Revision(); r != l.revision {
+		l.revision = r
 		l.services = l.d.core.Services(l.services[:0])
 		l.d.listeners.apply(time.Now(), l.services)
 	}
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -48,9 +48,9 @@
 			// long would fill the log otherwise.
 			switch {
 			case err != nil && !failing:
-				w.log.Warn("platform_read_failed", "after", r.after, "error", err)
+				w.log.Warn("platform-read-failed", "after", r.after, "error", err)
 			case err == nil && failing:
-				w.log.Info("platform_read_recovered", "upto", page.Upto)
+				w.log.Info("platform-read-recovered", "upto", page.Upto)
 			}
 			failing = err != nil
 			w.emit(event{config: &core.ConfigEvent{Documents: page.Documents, Upto: page.Upto, Err: err}})
@@ -69,13 +69,13 @@
 		case err == nil:
 			w.emit(event{instances: &core.InstancesEvent{Instances: list}})
 			if failing {
-				w.log.Info("platform_list_recovered", "instances", len(list))
+				w.log.Info("platform-list-recovered", "instances", len(list))
 			}
 		case !failing:
-			w.log.Warn("platform_list_failed", "error", err)
+			w.log.Warn("platform-list-failed", "error", err)
 		}
 		if invalid > 0 {
-			w.log.Warn("platform_list_invalid_entries", "entries", invalid)
+			w.log.Warn("platform-list-invalid-entries", "entries", invalid)
 		}
 		failing = err != nil
 		timer := time.NewTimer(listEvery/2 + rand.N(listEvery))
