core: follow-up blocks take their turn in the fair queue

Cause: blocks that waited for their target were served before all queued requests, which broke the split among partners under load.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -84,21 +84,10 @@
 	c.admitted[id] = r
 	if a.m.Block1.Num > 0 || a.m.Block2.Num > 0 {
 		k := flow.BlockKey{FlowKey: ids.FlowKey{Caller: a.caller, Service: s.name}, Path: a.m.Path}
-		if route, ok := c.blocks.Get(c.now, k); ok && route.Target != "" && s.owned() > 0 {
-			r.pin = route.Target
-			c.startPinned(r)
-			return
-		}
-	}
-	class, free := c.freeHere(s, a)
-	switch {
-	case free:
-		c.start(r, class)
-	case c.accepting() && c.fits(s, class, r.partner):
-		c.enqueue(r, class)
-	default:
-		c.reject(r)
+		route, _ := c.blocks.Get(c.now, k)
+		r.pin = route.Target
 	}
+	c.serveHere(r)
 }
 
 // duplicate responds to a repeated request with what is known of the first.
--- a/internal/core/caller.go
+++ b/internal/core/caller.go
@@ -156,6 +156,23 @@
 	c.enqueue(c.newRequest(a), class)
 }
 
+// serveHere starts, queues or rejects a request that no other instance may serve.
+func (c *Core) serveHere(r *request) {
+	s := r.svc
+	class := spread.Short
+	if s.pool != nil {
+		class = s.pool.Classify(r.key)
+	}
+	switch {
+	case c.accepting() && s.pool != nil && s.queues[class].Len() == 0 && s.pool.Free(class) > 0:
+		c.start(r, class)
+	case c.accepting() && c.fits(s, class, r.partner):
+		c.enqueue(r, class)
+	default:
+		c.reject(r)
+	}
+}
+
 // freeHere returns the class of a request and whether it can start here now.
 func (c *Core) freeHere(s *service, a *arrival) (spread.Class, bool) {
 	if s.pool == nil {
@@ -209,8 +226,7 @@
 	case known && c.accepting() && s.owned() > 0:
 		r := c.newRequest(a)
 		r.pin = route.Target
-		c.requests[r.requestKey()] = r
-		c.startPinned(r)
+		c.serveHere(r)
 	default:
 		c.place(a)
 	}
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -32,12 +32,12 @@
 	if !r.isAdmitted {
 		c.requests[r.requestKey()] = r
 	}
-	lease, ok := r.svc.pool.Acquire(c.now, class, r.avoid)
-	if !ok {
+	switch lease, ok, waits := c.acquire(r); {
+	case ok:
+		c.sendUpstream(r, lease)
+	case !waits:
 		c.enqueue(r, class)
-		return
 	}
-	c.sendUpstream(r, lease)
 }
 
 // enqueue queues a request until a slot is free.
@@ -72,16 +72,15 @@
 			c.reject(r)
 			continue
 		}
-		lease, ok := s.pool.Acquire(c.now, class, r.avoid)
-		if !ok {
-			lease, ok = s.pool.Acquire(c.now, class, "")
-		}
-		if !ok {
+		lease, ok, waits := c.acquire(r)
+		if !ok && !waits {
 			c.enqueue(r, class)
 			break
 		}
 		r.charged = true
-		c.sendUpstream(r, lease)
+		if ok {
+			c.sendUpstream(r, lease)
+		}
 	}
 	c.offerSlots(s)
 }
@@ -109,21 +108,25 @@
 	return class, true
 }
 
-// startPinned sends a follow-up block to its target, or makes it wait for it.
-func (c *Core) startPinned(r *request) {
+// acquire takes a slot for r, of its target if it is a follow-up block. While
+// that target is busy r waits for it: it has had its turn in the fair queue.
+func (c *Core) acquire(r *request) (lease spread.Lease, ok, waits bool) {
 	s := r.svc
-	if s.pool.Leaving(r.pin) {
+	if r.pin != "" && (s.pool.Leaving(r.pin) || len(s.pinned) >= s.limiter.Length) {
 		r.pin = ""
-		c.startOrQueue(r)
-		return
 	}
-	if lease, ok := s.pool.AcquireTarget(c.now, r.pin); ok {
-		c.sendUpstream(r, lease)
-		return
+	if r.pin != "" {
+		if lease, ok = s.pool.AcquireTarget(c.now, r.pin); !ok {
+			r.state = waiting
+			s.pinned = append(s.pinned, r)
+			c.wake(s)
+		}
+		return lease, ok, !ok
 	}
-	r.state = waiting
-	s.pinned = append(s.pinned, r)
-	c.wake(s)
+	if lease, ok = s.pool.Acquire(c.now, r.class, r.avoid); !ok && r.avoid != "" {
+		lease, ok = s.pool.Acquire(c.now, r.class, "")
+	}
+	return lease, ok, false
 }
 
 // dispatchPinned sends the follow-up blocks whose target has become free. One
@@ -132,6 +135,10 @@
 func (c *Core) dispatchPinned(s *service) {
 	kept := s.pinned[:0]
 	for _, r := range s.pinned {
+		if c.now.Add(s.pool.RunTime()) > r.deadline {
+			c.reject(r)
+			continue
+		}
 		switch lease, ok := s.pool.AcquireTarget(c.now, r.pin); {
 		case ok:
 			c.sendUpstream(r, lease)
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -38,8 +38,9 @@
 	Answered
 )
 
-// Effect is one thing to do. Which fields are set depends on Kind. The byte
-// slices that it refers to are valid until the next call of the core.
+// Effect is one thing to do. Which fields are set depends on Kind. All memory
+// that it refers to, the peer message and its strings included, is valid until
+// the next call of the core.
 type Effect struct {
 	Kind     Kind
 	Service  ids.Service
