config: add document parsing, the versioned store and the sync decisions

The stubs accepted everything and kept nothing. Documents are now validated with every fault listed by line, key and allowed range; the store keeps per key the highest good and the highest refused revision, so that its state does not depend on the order of arrival. A deleted profile keeps its last value for services that still name it, since that value must reach joining instances.

--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -1,6 +1,10 @@
 package config
 
 import (
+	"cmp"
+	"slices"
+	"strings"
+
 	"arbutusdock.example/arbutusdock/internal/ids"
 	"arbutusdock.example/arbutusdock/internal/peerwire"
 )
@@ -19,40 +23,290 @@
 	Err      error
 }
 
+// entry is the state of one key. For each key the highest good revision and
+// the highest refused revision above it are kept. Both are maxima, so the
+// state depends neither on the order of arrival nor on repetition.
+type entry struct {
+	key      string
+	value    []byte       // last good value; nil when deleted
+	revision ids.Revision // of value; 0 when no good value is known
+	refused  ids.Revision // 0 unless a later publication was refused
+	profile  *Profile
+	service  *Service
+	// unconfirmed: the refusal was read from the platform, which no longer
+	// has the values before it. A peer may know a later good value.
+	unconfirmed bool
+}
+
+// changed is the revision at which the state of the key last changed.
+func (e *entry) changed() ids.Revision { return max(e.revision, e.refused) }
+
 // Store holds the documents by key, the resolved services and the revision in
 // force. The zero value is empty and ready to use.
 type Store struct {
-	revision ids.Revision
+	revision    ids.Revision
+	entries     map[string]*entry
+	order       []*entry // by changed(), then key
+	resolved    map[ids.Service]*Resolved
+	unconfirmed int
 }
 
-// Apply merges documents received from a peer. The documents are complete from
-// the revision asked for up to upto.
+// Apply merges documents received from a peer. They must answer a request for
+// what changed after a revision that this store had reached, and be complete
+// up to upto. It returns the services whose resolved state changed.
 func (s *Store) Apply(docs []peerwire.Document, upto ids.Revision) (changed []ids.Service) {
-	return nil
+	m := merger{s: s}
+	for i := range docs {
+		d := &docs[i]
+		e := m.entry(d.Key)
+		if d.Revision > 0 {
+			m.merge(e, d.Revision, d.Value)
+		}
+		m.refuse(e, d.Refused)
+		if max(d.Refused, d.Revision) >= e.refused {
+			s.setUnconfirmed(e, false)
+		}
+	}
+	return m.finish(upto)
 }
 
-// Publish merges publications read from the platform, complete up to upto.
+// Publish merges publications read from the platform. They must be complete
+// from the revision asked for up to upto. It returns the services whose
+// resolved state changed, and why publications were refused.
 func (s *Store) Publish(p []Publication, upto ids.Revision) (changed []ids.Service, refused []Refusal) {
-	return nil, nil
+	m := merger{s: s}
+	for i := range p {
+		e := m.entry(p[i].Key)
+		before := e.refused
+		if err := m.merge(e, p[i].Revision, p[i].Value); err != nil {
+			refused = append(refused, Refusal{p[i].Key, p[i].Revision, err})
+		}
+		if e.refused > before {
+			s.setUnconfirmed(e, true)
+		}
+	}
+	return m.finish(upto), refused
+}
+
+func (s *Store) setUnconfirmed(e *entry, on bool) {
+	if e.unconfirmed != on {
+		e.unconfirmed = on
+		if on {
+			s.unconfirmed++
+		} else {
+			s.unconfirmed--
+		}
+	}
+}
+
+// Wanted returns the revision after which a peer should be asked because it
+// may know a good value that this store missed.
+func (s *Store) Wanted() (after ids.Revision, ok bool) {
+	if s.unconfirmed == 0 {
+		return 0, false
+	}
+	for _, e := range s.order {
+		if e.unconfirmed {
+			return e.refused - 1, true
+		}
+	}
+	return 0, false
+}
+
+// merger collects the effects of one Apply or Publish.
+type merger struct {
+	s        *Store
+	services map[ids.Service]bool
+	profiles map[string]bool
+}
+
+func (m *merger) entry(key string) *entry {
+	if m.s.entries == nil {
+		m.s.entries = map[string]*entry{}
+		m.s.resolved = map[ids.Service]*Resolved{}
+	}
+	e := m.s.entries[key]
+	if e == nil {
+		e = &entry{key: key}
+		m.s.entries[key] = e
+		m.s.place(e)
+	}
+	return e
+}
+
+// merge takes over value at revision r unless a later one is known. The error
+// is the reason for a refusal.
+func (m *merger) merge(e *entry, r ids.Revision, value []byte) error {
+	if r <= e.revision || r == e.refused {
+		return nil
+	}
+	if value == nil && strings.HasPrefix(e.key, profilePrefix) {
+		// Services that still name a deleted profile keep it. Its last value
+		// must therefore travel to joining instances, as after a refusal.
+		m.refuse(e, r)
+		return nil
+	}
+	var profile *Profile
+	var service *Service
+	if value != nil {
+		var err error
+		if profile, service, err = parseDocument(e.key, value); err != nil {
+			m.refuse(e, r)
+			return err
+		}
+		value = slices.Clone(value)
+	}
+	m.s.displace(e)
+	e.value, e.revision, e.profile, e.service = value, r, profile, service
+	if e.refused <= r {
+		e.refused = 0
+		m.s.setUnconfirmed(e, false)
+	}
+	m.s.place(e)
+	m.note(e)
+	return nil
+}
+
+// refuse records that revision r of the key is not in force.
+func (m *merger) refuse(e *entry, r ids.Revision) {
+	if r > e.changed() {
+		m.s.displace(e)
+		e.refused = r
+		m.s.place(e)
+	}
+}
+
+func (m *merger) note(e *entry) {
+	if name, ok := strings.CutPrefix(e.key, profilePrefix); ok {
+		if m.profiles == nil {
+			m.profiles = map[string]bool{}
+		}
+		m.profiles[name] = true
+	} else if name, ok := strings.CutPrefix(e.key, servicePrefix); ok {
+		if m.services == nil {
+			m.services = map[ids.Service]bool{}
+		}
+		m.services[ids.Service(name)] = true
+	}
+}
+
+// finish resolves the services concerned and raises the revision in force.
+func (m *merger) finish(upto ids.Revision) []ids.Service {
+	s := m.s
+	s.revision = max(s.revision, upto)
+	if len(m.profiles) > 0 {
+		for _, e := range s.order {
+			if e.service != nil && m.profiles[e.service.Profile] {
+				m.note(e)
+			}
+		}
+	}
+	var changed []ids.Service
+	for name := range m.services {
+		if s.resolve(name) {
+			changed = append(changed, name)
+		}
+	}
+	slices.Sort(changed)
+	return changed
+}
+
+// resolve combines a service with its profile and reports a change. A service
+// whose profile is unknown keeps the last one that it was resolved with.
+func (s *Store) resolve(name ids.Service) bool {
+	e := s.entries[servicePrefix+string(name)]
+	old := s.resolved[name]
+	if e == nil || e.service == nil {
+		delete(s.resolved, name)
+		return old != nil
+	}
+	r := &Resolved{Service: *e.service, Revision: e.revision}
+	if p := s.entries[profilePrefix+e.service.Profile]; p != nil && p.profile != nil {
+		r.Profile, r.Revision = *p.profile, max(e.revision, p.revision)
+	} else if old != nil {
+		r.Profile, r.Revision = old.Profile, max(e.revision, old.Revision)
+	} else {
+		return false
+	}
+	s.resolved[name] = r
+	return true
 }
 
-// Delta returns what changed after revision after, at most about maxBytes.
+func parseDocument(key string, value []byte) (*Profile, *Service, error) {
+	if name, ok := strings.CutPrefix(key, profilePrefix); ok {
+		p, err := ParseProfile(name, value)
+		return &p, nil, err
+	}
+	if name, ok := strings.CutPrefix(key, servicePrefix); ok {
+		v, err := ParseService(name, value)
+		return nil, &v, err
+	}
+	return nil, nil, &DocumentError{key, []Fault{{Problem: "unknown kind of document, allowed: profile/<name>, service/<name>"}}}
+}
+
+// byChange orders the entries for deltas.
+func byChange(a, b *entry) int {
+	return cmp.Or(cmp.Compare(a.changed(), b.changed()), cmp.Compare(a.key, b.key))
+}
+
+func (s *Store) place(e *entry) {
+	i, _ := slices.BinarySearchFunc(s.order, e, byChange)
+	s.order = slices.Insert(s.order, i, e)
+}
+
+func (s *Store) displace(e *entry) {
+	if i, ok := slices.BinarySearchFunc(s.order, e, byChange); ok {
+		s.order = slices.Delete(s.order, i, i+1)
+	}
+}
+
+// Delta returns what changed after revision after. It holds at least one
+// document if there is one, and further ones up to about maxBytes. More tells
+// that a request after Upto gets the rest.
 func (s *Store) Delta(after ids.Revision, maxBytes int) *peerwire.ConfigDelta {
-	return &peerwire.ConfigDelta{}
+	i, _ := slices.BinarySearchFunc(s.order, after, func(e *entry, r ids.Revision) int {
+		if e.changed() <= r {
+			return -1
+		}
+		return 1
+	})
+	d := &peerwire.ConfigDelta{Upto: s.revision}
+	size := 0
+	for _, e := range s.order[i:] {
+		// A document also carries its key, two revisions and CBOR headers.
+		size += len(e.key) + len(e.value) + 24
+		if size > maxBytes && len(d.Documents) > 0 {
+			d.More = true
+			d.Upto = min(s.revision, s.order[i+len(d.Documents)-1].changed())
+			break
+		}
+		d.Documents = append(d.Documents, peerwire.Document{Key: e.key, Revision: e.revision, Value: e.value, Refused: e.refused})
+	}
+	return d
 }
 
 // Resolved returns a service with its profile. It returns false when the
-// service is unknown, deleted, or has never had a known profile.
-func (s *Store) Resolved(service ids.Service) (*Resolved, bool) { return nil, false }
+// service is unknown, deleted, or has never had a known profile. The caller
+// must not change the result.
+func (s *Store) Resolved(service ids.Service) (*Resolved, bool) {
+	r, ok := s.resolved[service]
+	return r, ok
+}
 
 // Services returns the names of all resolved services, sorted.
-func (s *Store) Services() []ids.Service { return nil }
+func (s *Store) Services() []ids.Service {
+	list := make([]ids.Service, 0, len(s.resolved))
+	for name := range s.resolved {
+		list = append(list, name)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Documents returns the state of all keys in the order of their last change.
+func (s *Store) Documents() []peerwire.Document {
+	return s.Delta(0, int(^uint(0)>>1)).Documents
+}
 
 // Revision returns the revision in force.
 func (s *Store) Revision() ids.Revision { return s.revision }
-
-// ParseProfile parses and validates a profile document.
-func ParseProfile(name string, toml []byte) (Profile, error) { return Profile{}, nil }
-
-// ParseService parses and validates a service document.
-func ParseService(name string, toml []byte) (Service, error) { return Service{}, nil }
--- /dev/null
+++ b/internal/config/store_test.go
@@ -0,0 +1,180 @@
+package config
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
+	"arbutusdock.example/arbutusdock/internal/peerwire"
+)
+
+// A fixed seed keeps the normal run repeatable; -rapid.seed overrides it.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+const big = 1 << 20
+
+func profileDoc(queue int) []byte { return fmt.Appendf(nil, "[protect]\nqueue_length = %d\n", queue) }
+func serviceDoc(profile string) []byte {
+	return fmt.Appendf(nil, "port = 5683\nprofile = %q\n", profile)
+}
+
+func publish(s *Store, key string, r ids.Revision, value []byte) ([]ids.Service, []Refusal) {
+	return s.Publish([]Publication{{key, r, value}}, r)
+}
+
+// Guards against a stale or bad document that replaces the one in force, and
+// against a service that is served without or loses its profile.
+func TestStoreRules(t *testing.T) {
+	var s Store
+	changed, _ := publish(&s, "service/counter", 1, serviceDoc("standard"))
+	assert.Equal(t, len(changed), 0, "profile missing: not served")
+	changed, _ = publish(&s, "profile/standard", 2, profileDoc(100))
+	assert.DeepEqual(t, changed, []ids.Service{"counter"})
+	queue := func() int {
+		r, ok := s.Resolved("counter")
+		assert.Assert(t, ok)
+		return r.Profile.Protect.QueueLength
+	}
+	_, refused := publish(&s, "profile/standard", 3, []byte("[protect]\nqueue_length = -1\n"))
+	assert.Equal(t, len(refused), 1)
+	assert.Equal(t, queue(), 100)
+	publish(&s, "profile/standard", 1, profileDoc(50))
+	assert.Equal(t, queue(), 100, "stale platform")
+	assert.Equal(t, s.Revision(), ids.Revision(3))
+	publish(&s, "profile/standard", 4, nil)
+	assert.Equal(t, queue(), 100, "profile deleted while in use")
+	publish(&s, "service/counter", 5, serviceDoc("unknown"))
+	assert.Equal(t, queue(), 100, "the new profile is missing")
+
+	changed, _ = publish(&s, "service/counter", 6, nil)
+	assert.DeepEqual(t, changed, []ids.Service{"counter"})
+	publish(&s, "service/counter", 5, serviceDoc("standard"))
+	s.Apply([]peerwire.Document{{Key: "service/counter", Revision: 1, Value: serviceDoc("standard")}}, 1)
+	_, ok := s.Resolved("counter")
+	assert.Assert(t, !ok, "a deleted service came back")
+	_, refused = publish(&s, "servce/x", 7, nil)
+	assert.Equal(t, len(refused), 0, "a deletion needs no valid document")
+	_, refused = publish(&s, "servce/x", 8, serviceDoc("x"))
+	assert.Equal(t, len(refused), 1)
+}
+
+// Guards against an instance that reads only a refused revision from the
+// platform and never learns the last good value that its peers have.
+func TestMissedGoodValue(t *testing.T) {
+	var a, b Store
+	publish(&a, "profile/standard", 1, profileDoc(100))
+	publish(&a, "profile/standard", 2, []byte("x"))
+	publish(&b, "profile/standard", 2, []byte("x"))
+	assert.Equal(t, a.Revision(), b.Revision())
+	after, ok := b.Wanted()
+	assert.Assert(t, ok)
+	d := a.Delta(after, big)
+	b.Apply(d.Documents, d.Upto)
+	assert.DeepEqual(t, b.Documents(), a.Documents())
+	_, ok = b.Wanted()
+	assert.Assert(t, !ok)
+}
+
+// Guards against deltas above their bound, lost documents between parts, and
+// a document that is too large to be sent at all.
+func TestDeltaParts(t *testing.T) {
+	var a, b Store
+	for r := ids.Revision(1); r <= 50; r++ {
+		publish(&a, fmt.Sprintf("service/s%02d", r), r, serviceDoc("p"))
+	}
+	large := append(serviceDoc("p"), "# "+strings.Repeat("x", 5000)...)
+	publish(&a, "service/large", 51, large)
+	for parts := 0; b.Revision() < a.Revision(); parts++ {
+		d := a.Delta(b.Revision(), 1000)
+		assert.Assert(t, len(d.Documents) == 1 || len(d.Documents) < 20)
+		assert.Assert(t, parts < 10)
+		b.Apply(d.Documents, d.Upto)
+	}
+	assert.DeepEqual(t, a.Documents(), b.Documents())
+}
+
+// history draws the platform's publications; some are bad, some deletions.
+func history(t *rapid.T) []Publication {
+	var list []Publication
+	for r := ids.Revision(1); r <= 30; r++ {
+		key := rapid.SampledFrom([]string{"profile/a", "profile/b", "service/x", "service/y"}).Draw(t, "key")
+		p := Publication{Key: key, Revision: r}
+		switch kind := rapid.IntRange(0, 9).Draw(t, "kind"); {
+		case kind == 0:
+		case kind <= 2:
+			p.Value = []byte("x")
+		case strings.HasPrefix(key, profilePrefix):
+			p.Value = profileDoc(int(r))
+		default:
+			p.Value = serviceDoc(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "profile"))
+		}
+		list = append(list, p)
+	}
+	return list
+}
+
+// Guards against a state that depends on the order, delay or repetition of
+// reads and deltas, and against a revision that goes down.
+func TestStoresConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		platform := history(t)
+		read := func(s *Store, upto int) {
+			var p []Publication
+			for _, x := range platform[:upto] {
+				if x.Revision > s.Revision() {
+					p = append(p, x)
+				}
+			}
+			s.Publish(p, ids.Revision(max(upto, 0)))
+		}
+		stores := []*Store{{}, {}, {}, {}}
+		type delivery struct {
+			to    int
+			delta *peerwire.ConfigDelta
+		}
+		var sent []delivery
+		node := rapid.IntRange(0, len(stores)-1)
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			before := make([]ids.Revision, len(stores))
+			for i, s := range stores {
+				before[i] = s.Revision()
+			}
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				read(stores[node.Draw(t, "reader")], rapid.IntRange(0, len(platform)).Draw(t, "platform's age"))
+			case 1:
+				to, from := node.Draw(t, "to"), node.Draw(t, "from")
+				sent = append(sent, delivery{to, stores[from].Delta(stores[to].Revision(), rapid.IntRange(0, 400).Draw(t, "bytes"))})
+			case 2:
+				if len(sent) > 0 {
+					d := rapid.SampledFrom(sent).Draw(t, "delivery")
+					stores[d.to].Apply(d.delta.Documents, d.delta.Upto)
+				}
+			}
+			for i, s := range stores {
+				assert.Assert(t, s.Revision() >= before[i])
+			}
+		}
+		for _, s := range stores {
+			read(s, len(platform))
+		}
+		for range 2 {
+			for _, s := range stores {
+				if after, ok := s.Wanted(); ok {
+					for _, peer := range stores {
+						d := peer.Delta(after, big)
+						s.Apply(d.Documents, d.Upto)
+					}
+				}
+			}
+		}
+		for _, s := range stores[1:] {
+			assert.DeepEqual(t, s.Documents(), stores[0].Documents())
+		}
+	})
+}
--- a/internal/member/cross.go
+++ b/internal/member/cross.go
@@ -116,7 +116,7 @@
 // keeps a link now. It is empty unless this instance is one of the first two
 // serving instances of its own data centre by rendezvous.
 func (v *View) crossTargets() []ids.Instance {
-	if !slices.Contains(Ranked(v.Serving(), crossKey, crossInstances), v.id) {
+	if !slices.Contains(ranked(v.Serving(), crossKey, crossInstances), v.id) {
 		return nil
 	}
 	byCentre := map[ids.DataCentre][]Seed{}
@@ -142,7 +142,7 @@
 		list[i] = s.ID
 	}
 	var chosen []ids.Instance
-	for _, id := range Ranked(list, crossKey, len(list)) {
+	for _, id := range ranked(list, crossKey, len(list)) {
 		if len(chosen) == crossInstances {
 			break
 		}
@@ -162,8 +162,8 @@
 	return chosen
 }
 
-// Ranked returns the first n of the sorted list by rendezvous weight for key.
-func Ranked(sorted []ids.Instance, key string, n int) []ids.Instance {
+// ranked returns the first n of the sorted list by rendezvous weight for key.
+func ranked(sorted []ids.Instance, key string, n int) []ids.Instance {
 	type node struct {
 		id     ids.Instance
 		weight uint64
