--- a/cmd/standin/world.go
+++ b/cmd/standin/world.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net/netip"
@@ -135,6 +136,9 @@
 	return serve(ctx, g.Handler(), c.Listen)
 }
 
+// defaultSlots is the number of slots of a target whose document names none.
+const defaultSlots = 2
+
 // document is the part of a service document that the stand-ins need. They do
 // not use the product's own parser, so that a fault there shows.
 type document struct {
@@ -170,7 +174,8 @@
 				return nil, eris.Wrapf(err, "service document %s: target %s", f, t.Name)
 			}
 			s.Targets = append(s.Targets, config.Target{
-				Name: ids.Target(t.Name), DataCentre: ids.DataCentre(t.DataCentre), Address: address, Slots: t.Slots,
+				Name: ids.Target(t.Name), DataCentre: ids.DataCentre(t.DataCentre), Address: address,
+				Slots: cmp.Or(t.Slots, defaultSlots),
 			})
 		}
 		services = append(services, s)
--- a/internal/standin/caller/feed.go
+++ b/internal/standin/caller/feed.go
@@ -96,7 +96,7 @@
 	f.mu.Unlock()
 	ctx, stop := context.WithTimeout(ctx, registerFor)
 	defer stop()
-	m, err := f.conn.build(ctx, f.conn.cc, question{code: codes.GET, path: f.path, id: id})
+	m, err := f.conn.build(ctx, question{code: codes.GET, path: f.path, id: id})
 	if err != nil {
 		return func() {}
 	}
@@ -126,7 +126,7 @@
 	f.mu.Unlock()
 	ctx, stop := context.WithTimeout(ctx, registerFor)
 	defer stop()
-	m, err := f.conn.build(ctx, f.conn.cc, question{code: codes.GET, path: f.path, id: id})
+	m, err := f.conn.build(ctx, question{code: codes.GET, path: f.path, id: id})
 	if err != nil {
 		return
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,13 +7,23 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-BASE=${DEMO_BASE:-90}         # second byte of the first loopback network
+BASE=             # second byte of the first of five loopback networks
 SECONDS_OF_LOAD=${DEMO_SECONDS:-30}
 BOARD_RATE=${DEMO_BOARD_RATE:-250}   # requests a second
 KELANI_RATE=${DEMO_KELANI_RATE:-150}
 FEEDS=${DEMO_FEEDS:-100}             # of each user
 SEED=${DEMO_SEED:-1}
 
+# Takes networks that no other run on this machine uses.
+for b in $(seq 10 5 95); do
+	LOCK=${TMPDIR:-/tmp}/arbutusdock-net-$b
+	if mkdir "$LOCK" 2>/dev/null; then
+		BASE=$b
+		break
+	fi
+done
+[ -n "$BASE" ] || { echo "no free loopback networks; remove stale ${TMPDIR:-/tmp}/arbutusdock-net-*" >&2; exit 1; }
+
 RUN=$(mktemp -d "${TMPDIR:-/tmp}/arbutusdock-demo.XXXXXX")
 BIN=$RUN/bin
 HELPERS=127.$((BASE + 4)).0
@@ -34,6 +44,7 @@
 	done
 	for name in "${!PID[@]}"; do kill -KILL "${PID[$name]}" 2>/dev/null || true; done
 	wait 2>/dev/null || true
+	rmdir "$LOCK"
 	if [ "$status" = 0 ]; then rm -rf "$RUN"; else echo "logs and counts: $RUN" >&2; fi
 	exit "$status"
 }
@@ -46,6 +57,19 @@
 	"$@" >"$RUN/$name.log" 2>&1 &
 	PID[$name]=$!
 }
+# pause SECONDS: a signal ends it at once, unlike a plain sleep.
+pause() {
+	sleep "$1" &
+	PID[pause]=$!
+	wait "${PID[pause]}"
+	unset 'PID[pause]'
+}
+alive() {
+	local name
+	for name in "${!PID[@]}"; do
+		kill -0 "${PID[$name]}" 2>/dev/null || { echo "$name has exited:" >&2; tail -n 5 "$RUN/$name.log" >&2; return 1; }
+	done
+}
 event() { echo "$(date +%s%3N) $*" | tee -a "$RUN/events" >&2; }
 control() { "$BIN/standin" http "$@" >/dev/null; }
 until_ok() { # COMMAND...: repeats it for up to 15 s
@@ -83,7 +107,8 @@
 while read -r id _ ip _; do
 	until_ok "$BIN/standin" http GET "http://$ip:7200/v1/state"
 done <"$RUN/instances.txt"
-sleep 3 # the instances find each other and read the documents
+pause 3 # the instances find each other and read the documents
+alive
 
 echo "load for $SECONDS_OF_LOAD s" >&2
 callers=(--documents "$RUN/documents" --duration "${SECONDS_OF_LOAD}s" --feeds "$FEEDS" --seed "$SEED"
@@ -93,11 +118,11 @@
 start kelani "$BIN/standin" caller "${callers[@]}" --user kelani --local "127.$((BASE + 3)).2.1" \
 	--rate "$KELANI_RATE" --out "$RUN/kelani.json"
 
-sleep 3
+pause 3
 event profile "swap the weights of profile peak"
 awk '/^weight/ { $0 = (n++ ? "weight = 3" : "weight = 1") } { print }' "$RUN/documents/profile/peak.toml" >"$RUN/peak.toml"
 control PUT "$PLATFORM/v1/documents/profile/peak" "@$RUN/peak.toml"
-sleep 3
+pause 3
 event stop-begin dc1-2
 kill -TERM "${PID[dc1-2]}"
 control POST "$PLATFORM/control/instances/dc1-2/leave"
@@ -105,11 +130,11 @@
 event stop-end dc1-2
 control DELETE "$PLATFORM/control/instances/dc1-2"
 unset 'PID[dc1-2]'
-sleep 2
+pause 2
 event drain "counter-1-3 alarm-1-1"
 control PUT "$BACKEND/control" '{"service":"counter","target":"counter-1-3","state":"draining"}'
 control PUT "$BACKEND/control" '{"service":"alarm","target":"alarm-1-1","state":"draining"}'
-sleep 9
+pause 9
 event kill dc2-3
 kill -KILL "${PID[dc2-3]}"
 unset 'PID[dc2-3]'
