share: book the return of refused callers

Times to come back drawn from an interval that grows with offered load over capacity do not bound the load of returning callers: the interval does not grow with their number.

spread: a slow target is tried again after 1 s without a request.

--- a/internal/experiment/design.go
+++ b/internal/experiment/design.go
@@ -65,13 +65,18 @@
 	queues  [2]share.Queue[*queued]
 	waiting [2]map[ids.Partner]int
 	limit   admission.Limiter
-	retry   admission.RetryAfter
+	returns share.Returns
 	weights map[ids.Partner]uint32
 	peers   map[*instance]*load
 	rng     *rand.Rand
 }
 
-const maxHops = 2
+const (
+	maxHops = 2
+	// returnPart keeps the transmissions at three times the capacity below 1.1
+	// per request, and leaves room for the load after the peak.
+	returnPart = 0.25
+)
 
 func newDesign(c *cluster, self *instance) node {
 	seed := c.rng.Uint64()
@@ -100,7 +105,7 @@
 func (n *design) profile(r *config.Resolved) {
 	p := r.Profile.Protect
 	n.limit = admission.Limiter{QueueTime: p.QueueTime, Deadline: p.Deadline, Length: p.QueueLength}
-	n.retry.Min, n.retry.Max = p.RetryAfterMin, p.RetryAfterMax
+	n.returns.Min, n.returns.Max, n.returns.Part = p.RetryAfterMin, p.RetryAfterMax, returnPart
 	n.weights = map[ids.Partner]uint32{}
 	for _, partner := range r.Profile.Partners {
 		n.weights[partner.Name] = partner.Weight
@@ -112,7 +117,6 @@
 }
 
 func (n *design) arrive(r *request) {
-	n.retry.Offered(n.c.now)
 	n.take(r, 0)
 }
 
@@ -185,7 +189,11 @@
 }
 
 func (n *design) refuse(r *request) {
-	n.c.respond(r, refused, time.Duration(n.retry.Seconds(n.rng))*time.Second)
+	rate := 0.0
+	if p := n.pool(); p != nil {
+		rate = float64(p.Owned()) / p.RunTime().Seconds()
+	}
+	n.c.respond(r, refused, time.Duration(n.returns.Seconds(n.c.now, rate, n.rng))*time.Second)
 }
 
 // dispatch sends q to a backend server if an owned slot is free for it.
@@ -195,7 +203,6 @@
 	if !ok {
 		return false
 	}
-	n.retry.Served()
 	start := n.c.now
 	n.c.dispatch(n.self, n.c.backendOf(l.Target), q.r, q.expires, func(o spread.Outcome) {
 		n.pool().Release(n.c.now, l, q.key, o)
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -34,7 +34,7 @@
 			Name:   "model",
 			Spread: config.Spread{LongShare: 0.6, LongFactor: 8, SlowStart: 2 * time.Second},
 			Protect: config.Protect{
-				Deadline: deadline, QueueTime: 500 * time.Millisecond, QueueLength: 500, RetryRatio: 0.1,
+				Deadline: deadline, QueueTime: 250 * time.Millisecond, QueueLength: 500, RetryRatio: 0.1,
 				MaxFeeds: 100, Idempotent: []string{"GET"},
 				RetryAfterMin: time.Second, RetryAfterMax: 60 * time.Second,
 			},
--- a/internal/spread/lease.go
+++ b/internal/spread/lease.go
@@ -30,7 +30,7 @@
 			return p.start(now, i, c, true), true
 		}
 	}
-	i := p.pick(avoid)
+	i := p.pick(now, avoid)
 	if i == none {
 		return Lease{}, false
 	}
@@ -39,7 +39,7 @@
 
 // pick returns the target to use next: of the targets that have been idle
 // longest the fastest one, other than avoid.
-func (p *Pool) pick(avoid ids.Target) int32 {
+func (p *Pool) pick(now ids.Time, avoid ids.Target) int32 {
 	best, bestScore := none, 0.0
 	i := p.head
 	for k := range pickLimit {
@@ -47,7 +47,12 @@
 			break
 		}
 		t := p.targets[i]
-		if score := t.slowness + float64(k)*idleWeight; t.name != avoid && (best == none || score < bestScore) {
+		score := t.slowness
+		if now.Sub(t.lastDispatch) > slownessAge {
+			score = min(score, 1)
+		}
+		score += float64(k) * idleWeight
+		if t.name != avoid && (best == none || score < bestScore) {
 			best, bestScore = i, score
 		}
 		i = t.next
--- a/internal/spread/pool.go
+++ b/internal/spread/pool.go
@@ -103,7 +103,7 @@
 // add creates the entry of a target.
 func (p *Pool) add(now ids.Time, m *member, owned int) int32 {
 	t := &target{name: m.Name, endpoint: m.Address, life: chart.Backend.New(), trust: chart.Suspicion.New(),
-		owned: owned, next: none, prev: none}
+		owned: owned, next: none, prev: none, slowness: 1}
 	t.slowUntil = m.since.Add(p.spread.SlowStart)
 	if m.since == 0 || !now.Before(t.slowUntil) {
 		t.life.Fire(chart.BackendReady)
--- a/internal/spread/target.go
+++ b/internal/spread/target.go
@@ -79,6 +79,9 @@
 	// worth. The average of the window varies by 0.09 when run times vary by a
 	// half, so a greater weight would only tell very slow targets apart.
 	idleWeight = 0.02
+	// slownessAge is the time without a request after which a slow target is
+	// tried again; the average would never change otherwise.
+	slownessAge = time.Second
 	// pickLimit bounds the search for a fast target.
 	pickLimit = 8
 	// Below this number of targets the share of suspected ones says nothing:
