--- a/internal/member/sim_test.go
+++ b/internal/member/sim_test.go
@@ -178,4 +178,3 @@
 	}
 	return mean, greatest
 }
-
