--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -20,11 +20,11 @@
 func TestLogLine(t *testing.T) {
 	var out bytes.Buffer
 	log := NewLogger(&out, slog.LevelInfo, "a1")
-	log.Info("config_applied", Details("revision=7 reason=two words")...)
+	log.Info("config-applied", Details(`revision=7 error="line 4: key=x" reason=two words`)...)
 	log.Debug("hidden")
 	line := out.String()
 	assert.Equal(t, strings.Count(line, "\n"), 1)
-	assert.Assert(t, strings.HasSuffix(line, `msg=config_applied instance=a1 revision=7 reason="two words"`+"\n"), line)
+	assert.Assert(t, strings.HasSuffix(line, `msg=config-applied instance=a1 revision=7 error="line 4: key=x" reason="two words"`+"\n"), line)
 }
 
 // Guards against metrics that are missing from the page or break its JSON.
@@ -79,3 +79,27 @@
 	assert.Assert(t, !off.Sampled(1))
 	assert.NilError(t, off.Close(context.Background()))
 }
+
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) { <-s.release; return len(p), nil }
+
+// Guards against a log stream that nobody reads and that stops the daemon, and
+// against lines lost at the end.
+func TestWriterNeverBlocks(t *testing.T) {
+	s := stuck{release: make(chan struct{})}
+	w := NewWriter(s, 4)
+	for range 100 {
+		_, _ = w.Write([]byte("line\n"))
+	}
+	assert.Assert(t, w.Stats().Dropped >= 95)
+	close(s.release)
+	w.Close()
+	var out bytes.Buffer
+	w = NewWriter(&out, 16)
+	for range 10 {
+		_, _ = w.Write([]byte("line\n"))
+	}
+	w.Close()
+	assert.Equal(t, strings.Count(out.String(), "line\n"), 10)
+}
