--- a/internal/config/sync.go
+++ b/internal/config/sync.go
@@ -20,12 +20,17 @@
 	watchTimeout = 45 * time.Second // longer than the wait of a watch, 30 s
 	watchGap     = 100 * time.Millisecond
 	joinGap      = 500 * time.Millisecond // between reads while joining
-	wantedGap    = 5 * time.Second        // between requests for a good value that was missed
+	// staleGap is the least time until the next read of a platform that is
+	// behind the peers; 2,500 instances cause at most 1,250 reads a second.
+	staleGap  = 2 * time.Second
+	wantedGap = 5 * time.Second // between requests for a good value that was missed
 
 	// joinPeers is the time that a joining instance gives its peers before it
-	// also reads the platform. joinLimit is the time after which it serves
+	// also reads the platform; joinAlone applies while none has been heard.
+	// joinLimit is the time after which it serves
 	// what it has although a newer revision is known.
 	joinPeers = time.Second
+	joinAlone = 500 * time.Millisecond
 	joinLimit = 3 * time.Second
 	// peerAttempts without an answer lead to a read of the platform.
 	peerAttempts = 3
@@ -149,8 +154,11 @@
 	y.platform = upto
 	y.pollAt = now.Add(pollGap + y.jitter(pollJitter))
 	y.readAfter = now.Add(watchGap)
-	if !y.ready {
+	switch {
+	case !y.ready:
 		y.readAfter = now.Add(joinGap)
+	case upto < y.newest():
+		y.readAfter = now.Add(staleGap + y.jitter(staleGap))
 	}
 }
 
@@ -229,7 +237,7 @@
 func (y *Syncer) checkReady(now ids.Time, have ids.Revision) {
 	newest := max(y.newest(), y.platform)
 	waited := now.Sub(y.startedAt)
-	found := have >= newest && (y.answered || have > 0 && len(y.peers) > 0)
+	found := have >= newest && (have > 0 && len(y.peers) > 0 || y.answered && waited >= joinPeers)
 	y.ready = found || waited >= joinLimit && have > 0
 }
 
@@ -257,6 +265,9 @@
 		}
 	}
 	if len(list) == 0 {
+		if behind {
+			y.attempts = peerAttempts
+		}
 		return
 	}
 	slices.Sort(list)
@@ -269,7 +280,8 @@
 	switch {
 	case !y.ready:
 		// Peers first; a large difference takes too long on control links.
-		return len(y.peers) == 0 && !y.answered || now.Sub(y.startedAt) >= joinPeers
+		waited := now.Sub(y.startedAt)
+		return waited >= joinPeers || len(y.peers) == 0 && !y.answered && waited >= joinAlone
 	case y.platform > have:
 		return true
 	case y.attempts >= peerAttempts:
