message: encode without computing the size first

Cause: go-coap computes the size inside Encode, so asking for it before marshalled all options three times; each call cleared 132 option slots. Change: the buffer grows by an upper bound and Encode is called once; only the used slots are cleared.

--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"strings"
 	"sync"
 
@@ -23,6 +24,9 @@
 	// for a request, in milliseconds (experimental range, RFC 7252 section 12.2).
 	Deadline coap.OptionID = 65001
 
+	headerBytes     = 4 // RFC 7252 section 3
+	maxOptionHeader = 5 // delta and length with their extensions, section 3.1
+
 	defaultMaxAge = 60 // seconds, RFC 7252 section 5.10.5
 	maxObserve    = 1<<24 - 1
 )
@@ -38,6 +42,7 @@
 	msg     coap.Message
 	options [MaxOptions + spareOptions]coap.Option
 	uints   [3][4]byte // values of Observe, Max-Age and Deadline
+	used    int        // options that may refer to the caller's memory
 	token   [8]byte
 	hash    xxhash.Digest
 	prefix  [6]byte
@@ -50,16 +55,19 @@
 
 func (c *codec) decode(datagram []byte) error {
 	c.msg.Options = c.options[:0:MaxOptions]
-	if _, err := coder.DefaultCoder.Decode(datagram, &c.msg); err != nil {
+	_, err := coder.DefaultCoder.Decode(datagram, &c.msg)
+	if err != nil {
+		c.used = MaxOptions // how far go-coap got is unknown
 		return eris.Wrap(err, "decode CoAP")
 	}
+	c.used = len(c.msg.Options)
 	return nil
 }
 
 // release returns c to the pool without references to the caller's memory.
 func (c *codec) release() {
-	c.msg = coap.Message{}
-	clear(c.options[:])
+	clear(c.options[:c.used])
+	c.msg, c.used = coap.Message{}, 0
 	codecs.Put(c)
 }
 
@@ -208,6 +216,7 @@
 	}
 	// Raises the capacity to include the spare options.
 	c.msg.Options = c.options[:len(c.msg.Options)]
+	c.used = len(c.msg.Options) + spareOptions
 	c.apply(o)
 	return c.append(dst)
 }
@@ -252,21 +261,25 @@
 	c.msg.Options = c.msg.Options.Set(coap.Option{ID: id, Value: value})
 }
 
+// bound returns an upper limit of the encoded size. It is cheaper than the
+// size that go-coap computes, which marshals all options.
+func (c *codec) bound() int {
+	size := headerBytes + len(c.msg.Token) + 1 + len(c.msg.Payload)
+	for i := range c.msg.Options {
+		size += maxOptionHeader + len(c.msg.Options[i].Value)
+	}
+	return size
+}
+
 func (c *codec) append(dst []byte) ([]byte, error) {
-	size, err := coder.DefaultCoder.Size(c.msg)
+	dst = slices.Grow(dst, c.bound())
+	start := len(dst)
+	size, err := coder.DefaultCoder.Encode(c.msg, dst[start:cap(dst)])
 	if err != nil {
-		return dst, eris.Wrap(err, "encode CoAP: size")
+		return dst, eris.Wrap(err, "encode CoAP")
 	}
 	if size > MaxDatagram {
 		return dst, eris.Errorf("encode CoAP: %d bytes exceed the limit of %d", size, MaxDatagram)
 	}
-	start := len(dst)
-	for cap(dst)-start < size {
-		dst = append(dst[:cap(dst)], 0)
-	}
-	dst = dst[:start+size]
-	if _, err := coder.DefaultCoder.Encode(c.msg, dst[start:]); err != nil {
-		return dst[:start], eris.Wrap(err, "encode CoAP")
-	}
-	return dst, nil
+	return dst[:start+size], nil
 }
