experiment: drive the real core

Datagrams and peer messages are encoded and decoded, membership is gossiped, and profiles are published on a model of the platform. The policy on the spread and share packages stays as a reference.

--- a/internal/experiment/backend.go
+++ b/internal/experiment/backend.go
@@ -45,7 +45,7 @@
 	return &backend{sim: s, index: index, since: s.now, target: config.Target{
 		Name: ids.Target(fmt.Sprintf("backend-%d-%02d", seed, index)), DataCentre: dataCentre, Slots: slotsPerTarget,
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(index + 1)}), 5683),
-		Health:  fmt.Sprintf("http://127.0.1.%d/health", index+1),
+		Health:  fmt.Sprintf("http://127.0.1.%d:8080/health", index+1),
 	}}
 }
 
--- a/internal/experiment/caller.go
+++ b/internal/experiment/caller.go
@@ -28,14 +28,15 @@
 	r.tries++
 	r.repeats = 0
 	r.acked, r.waiting = false, false
+	r.echo = nil
 	r.attempt = c.now
+	c.stats.transmitted(r)
 	c.transmit(r, r.tries, c.between(ackTimeout, time.Duration(float64(ackTimeout)*ackRandom)))
 }
 
 // transmit sends r to a random instance and repeats it with doubled time-out
 // until it is acknowledged.
 func (c *cluster) transmit(r *request, try int, timeout time.Duration) {
-	c.stats.transmitted(r)
 	in := c.spray()
 	c.after(callerDelay, func() {
 		if in.dead {
@@ -43,6 +44,9 @@
 		}
 		r.holder = in
 		in.node.arrive(r)
+		if _, ok := in.node.(*coreNode); ok {
+			return // it sends the acknowledgement itself
+		}
 		c.after(ackAfter, func() {
 			if !r.holder.dead && !r.settled && r.tries == try {
 				c.after(callerDelay, func() { r.acked = true })
@@ -63,10 +67,24 @@
 			return
 		}
 		r.repeats++
+		c.stats.transmitted(r)
 		c.transmit(r, try, 2*timeout)
 	})
 }
 
+// challenge delivers an admission token, with which the caller repeats r.
+func (c *cluster) challenge(r *request, echo []byte) {
+	try := r.tries
+	c.after(callerDelay, func() {
+		if r.settled || r.waiting || r.tries != try {
+			return
+		}
+		r.echo = echo
+		r.repeats = 0
+		c.transmit(r, try, c.between(ackTimeout, time.Duration(float64(ackTimeout)*ackRandom)))
+	})
+}
+
 // respond delivers an answer to the caller of r. retryAfter is the time to
 // come back of a refusal.
 func (c *cluster) respond(r *request, a answer, retryAfter time.Duration) {
@@ -92,6 +110,9 @@
 
 func (c *cluster) settle(r *request, a answer) {
 	r.settled = true
+	if r.id != 0 {
+		c.after(longDeadline, func() { delete(c.byToken, r.coapToken()) })
+	}
 	c.stats.settled(r, a)
 }
 
--- a/internal/experiment/cluster.go
+++ b/internal/experiment/cluster.go
@@ -6,6 +6,7 @@
 
 	"arbutusdock.example/arbutusdock/internal/config"
 	"arbutusdock.example/arbutusdock/internal/ids"
+	"arbutusdock.example/arbutusdock/internal/message"
 	"arbutusdock.example/arbutusdock/internal/spread"
 )
 
@@ -72,13 +73,23 @@
 	resolved  *config.Resolved
 	stats     *stats
 	maxTries  int // attempts of a caller, the first included
+
+	// Used with the core only.
+	platform  *platform
+	cut       map[[2]*instance]bool // links that are down, by direction
+	byToken   map[message.Token]*request
+	byMessage map[uint16]*request
+	serial    uint32
+	messageID uint16
 }
 
 // maker builds the policy of an instance.
 type maker func(c *cluster, self *instance) node
 
 func newCluster(seed uint64, r *config.Resolved, build maker) *cluster {
-	c := &cluster{sim: newSim(seed), resolved: r, maxTries: 4}
+	c := &cluster{sim: newSim(seed), resolved: r, maxTries: 4, cut: make(map[[2]*instance]bool),
+		byToken: make(map[message.Token]*request), byMessage: make(map[uint16]*request)}
+	c.platform = &platform{c: c}
 	c.stats = newStats(c)
 	for i := range targetCount {
 		// The names differ from seed to seed, and with them the ownership.
@@ -107,6 +118,8 @@
 			})
 		})
 	}
+	c.run(0)
+	c.stats.relays = 0
 	return c
 }
 
@@ -122,8 +135,13 @@
 }
 
 // send delivers m to another instance after the relay delay.
-func (c *cluster) send(to *instance, m any) {
-	c.stats.relays++
+func (c *cluster) send(to *instance, m any) { c.sendCounted(to, m, true) }
+
+// sendCounted delivers m; only data messages count as relayed traffic.
+func (c *cluster) sendCounted(to *instance, m any, data bool) {
+	if data {
+		c.stats.relays++
+	}
 	c.after(peerDelay, func() {
 		if !to.dead {
 			to.node.peer(m)
--- /dev/null
+++ b/internal/experiment/corenode.go
@@ -0,0 +1,289 @@
+package experiment
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/admission"
+	"arbutusdock.example/arbutusdock/internal/config"
+	"arbutusdock.example/arbutusdock/internal/core"
+	"arbutusdock.example/arbutusdock/internal/ids"
+	"arbutusdock.example/arbutusdock/internal/member"
+	"arbutusdock.example/arbutusdock/internal/message"
+	"arbutusdock.example/arbutusdock/internal/peerwire"
+	"arbutusdock.example/arbutusdock/internal/spread"
+)
+
+// bootTime is the time before the start of a run in which instances find each
+// other and the configuration.
+const bootTime = 8 * time.Second
+
+// coreNode drives the real decision logic: datagrams are encoded and decoded,
+// membership is gossiped, and the configuration comes from the platform.
+type coreNode struct {
+	c    *cluster
+	self *instance
+	core *core.Core
+	jobs map[upstreamKey]*job // requests at backend servers
+	free []*core.Effects
+}
+
+// upstreamKey is the message id of a request to a backend server.
+type upstreamKey struct {
+	target ids.Target
+	id     uint16
+}
+
+func newCore(c *cluster, self *instance) node {
+	keys, err := admission.NewKeyring(1, map[uint8][]byte{1: []byte("0123456789abcdef")})
+	if err != nil {
+		panic(err) // the key is a constant
+	}
+	s := core.Self{ID: self.id, Incarnation: ids.Incarnation(self.index + 1), DataCentre: dataCentre, PeerAddr: self.address(), Linger: time.Second}
+	for _, other := range c.instances {
+		if other != self {
+			s.Seeds = append(s.Seeds, member.Seed{ID: other.id, DataCentre: dataCentre, PeerAddr: other.address()})
+		}
+	}
+	return &coreNode{c: c, self: self, core: core.New(s, keys, c.rng.Uint64()), jobs: make(map[upstreamKey]*job)}
+}
+
+func (in *instance) address() string { return fmt.Sprintf("127.0.0.1:%d", 9000+in.index) }
+
+// call calls the core and carries out the effects.
+func (n *coreNode) call(f func(now ids.Time, out *core.Effects)) {
+	if n.self.dead {
+		return
+	}
+	var out *core.Effects
+	if k := len(n.free); k > 0 {
+		out, n.free = n.free[k-1], n.free[:k-1]
+	} else {
+		out = new(core.Effects)
+	}
+	f(n.c.now, out)
+	for i := range out.List {
+		n.effect(&out.List[i])
+	}
+	out.Reset()
+	n.free = append(n.free, out)
+}
+
+func (n *coreNode) effect(e *core.Effect) {
+	switch e.Kind {
+	case core.ToCaller:
+		n.toCaller(decode(&e.Out))
+	case core.ToBackend:
+		n.toBackend(e)
+	case core.ToPeer:
+		n.toPeer(e.Instance, e.Peer)
+	case core.CheckHealth:
+		if b := n.c.backendOf(e.Target); b != nil {
+			n.c.check(n.self, b)
+		}
+	case core.Log:
+		if e.Event == "config-refused" {
+			panic("model: " + e.Detail)
+		}
+	case core.WatchConfig:
+		n.c.platform.read(n, e.Revision, e.Watch)
+	}
+}
+
+// decode encodes a message and decodes it again, as on the wire.
+func decode(o *message.Outgoing) *message.Message {
+	raw, err := message.Encode(nil, o)
+	if err != nil {
+		panic(err) // the core has built a message that cannot be sent
+	}
+	return parse(raw)
+}
+
+func parse(raw []byte) *message.Message {
+	m := new(message.Message)
+	if err := message.Decode(raw, m); err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func (n *coreNode) arrive(r *request) {
+	m := r.datagram(n.c)
+	n.call(func(now ids.Time, out *core.Effects) {
+		n.core.Caller(now, &core.CallerEvent{Service: serviceName, Caller: callerAddress(r.caller), Message: m}, out)
+	})
+}
+
+// toCaller interprets a datagram for a caller.
+func (n *coreNode) toCaller(m *message.Message) {
+	if m.Code == message.Empty {
+		if r := n.c.byMessage[m.ID]; r != nil && m.Type == message.Acknowledgement {
+			n.c.after(callerDelay, func() { r.acked = true })
+		}
+		return
+	}
+	r := n.c.byToken[m.Token]
+	if r == nil {
+		return
+	}
+	if m.Type == message.Confirmable {
+		ack := decode(&message.Outgoing{Type: message.Acknowledgement, ID: m.ID})
+		n.c.after(2*callerDelay, func() {
+			if in := n.c.spray(); !in.dead {
+				in.node.(*coreNode).call(func(now ids.Time, out *core.Effects) {
+					in.node.(*coreNode).core.Caller(now, &core.CallerEvent{Service: serviceName, Caller: callerAddress(r.caller), Message: ack}, out)
+				})
+			}
+		})
+	}
+	switch {
+	case m.Code == message.Unauthorized:
+		n.c.challenge(r, append([]byte(nil), m.Echo...))
+	case m.Code == message.ServiceUnavailable:
+		n.c.respond(r, refused, time.Duration(m.MaxAge)*time.Second)
+	case m.Code>>5 == 2:
+		n.c.respond(r, served, 0)
+	default:
+		n.c.respond(r, failed, 0)
+	}
+}
+
+// toBackend delivers a datagram to a backend server.
+func (n *coreNode) toBackend(e *core.Effect) {
+	b := n.c.backendOf(e.Target)
+	if b == nil || e.Out.Type == message.Acknowledgement {
+		return
+	}
+	m := decode(&e.Out)
+	key := upstreamKey{e.Target, m.ID}
+	if m.Type == message.Reset {
+		if j := n.jobs[key]; j != nil {
+			n.c.after(backendDelay, func() { j.gone = true })
+		}
+		return
+	}
+	if n.jobs[key] != nil {
+		return // a repeat of a request that the backend server has
+	}
+	r := n.c.byToken[parse(e.Out.Template).Token]
+	if r == nil {
+		return
+	}
+	r.dispatched++
+	j := &job{run: r.run, expires: n.c.now.Add(time.Duration(e.Out.DeadlineMS) * time.Millisecond)}
+	n.jobs[key] = j
+	acked := false
+	reply := func(o *message.Outgoing) {
+		got := decode(o)
+		n.c.after(backendDelay, func() {
+			n.call(func(now ids.Time, out *core.Effects) {
+				n.core.Backend(now, &core.BackendEvent{From: b.target.Address, Message: got}, out)
+			})
+		})
+	}
+	j.done = func(o spread.Outcome) {
+		code := message.Content
+		if o == spread.Shed {
+			code = message.ServiceUnavailable
+		}
+		answer := &message.Outgoing{Type: message.Acknowledgement, Code: code, ID: m.ID, Token: m.Token}
+		if acked {
+			answer.Type = message.NonConfirmable
+		}
+		reply(answer)
+		acked = true
+	}
+	n.c.after(backendDelay, func() { b.accept(j) })
+	n.c.after(backendDelay+ackAfter, func() {
+		if !acked && !j.gone && !b.dead {
+			acked = true
+			reply(&message.Outgoing{Type: message.Acknowledgement, ID: m.ID})
+		}
+	})
+	n.c.at(j.expires.Add(time.Second), func() { delete(n.jobs, key) })
+}
+
+func (n *coreNode) toPeer(to ids.Instance, m *peerwire.Message) {
+	raw, err := peerwire.Encode(nil, m)
+	if err != nil {
+		panic(err) // the core has built a message that cannot be sent
+	}
+	for _, in := range n.c.instances {
+		if in.id == to && !n.c.cut[[2]*instance{n.self, in}] {
+			n.c.sendCounted(in, raw, m.Lane() == peerwire.Data)
+		}
+	}
+}
+
+func (n *coreNode) peer(m any) {
+	got := new(peerwire.Message)
+	if err := peerwire.Decode(m.([]byte), got); err != nil {
+		panic(err)
+	}
+	e := &core.PeerEvent{Message: got}
+	if got.Relay != nil {
+		e.Relayed = parse(got.Relay.Datagram)
+	}
+	n.call(func(now ids.Time, out *core.Effects) { n.core.Peer(now, e, out) })
+}
+
+func (n *coreNode) health(b *backend, healthy bool) {
+	n.call(func(now ids.Time, out *core.Effects) {
+		n.core.Health(now, &core.HealthEvent{Service: serviceName, Target: b.target.Name, Healthy: healthy, Load: -1}, out)
+	})
+}
+
+// instances is left to the gossip of the cores.
+func (n *coreNode) instances(ids.Time, []ids.Instance) {}
+
+// profile publishes r on the platform unless another instance has done so.
+func (n *coreNode) profile(r *config.Resolved) { n.c.platform.publish(r) }
+
+func (n *coreNode) tick() {
+	n.call(func(now ids.Time, out *core.Effects) { n.core.Tick(now, out) })
+}
+
+// callerAddress returns the endpoint of a caller.
+func callerAddress(caller int) ids.Endpoint {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 2, byte(caller >> 8), byte(caller)}), 40000)
+}
+
+// datagram builds the datagram of the current transmission of r. The message
+// id changes with each attempt and with the admission token.
+func (r *request) datagram(c *cluster) *message.Message {
+	if r.id == 0 {
+		c.serial++
+		r.serial = c.serial
+		c.byToken[r.coapToken()] = r
+	}
+	if key := [2]int{r.tries, len(r.echo)}; r.id == 0 || key != r.sentAs {
+		r.sentAs = key
+		c.messageID++
+		r.id = max(c.messageID, 1)
+		c.byMessage[r.id] = r
+	}
+	code := message.GET
+	if r.claim {
+		code = message.POST
+	}
+	t := r.coapToken()
+	raw := append([]byte{0x40 | t.Len, byte(code), byte(r.id >> 8), byte(r.id)}, t.Bytes[:t.Len]...)
+	delta := byte(11) // Uri-Path
+	if p := r.mix.partner; p != "" {
+		raw = append(append(raw, 3<<4|byte(len(p))), p...) // Uri-Host
+		delta = 8
+	}
+	path := strconv.FormatUint(r.path&0xffffffff, 36)
+	raw = append(append(raw, delta<<4|byte(len(path))), path...)
+	o := &message.Outgoing{Template: raw, Type: message.Confirmable, ID: r.id, Token: t, Echo: r.echo}
+	if r.claim {
+		o.Payload = t.Bytes[:t.Len]
+	}
+	return decode(o)
+}
+
+func (r *request) coapToken() message.Token {
+	return message.Token{Len: 4, Bytes: [8]byte{byte(r.serial >> 24), byte(r.serial >> 16), byte(r.serial >> 8), byte(r.serial)}}
+}
--- a/internal/experiment/crest.go
+++ b/internal/experiment/crest.go
@@ -26,7 +26,7 @@
 func crest() *Experiment {
 	return &Experiment{
 		Name: "crest", Title: "Demand swing from 0.5 to 3 times capacity",
-		plot: plotSpec{x: "time (s)", y: "work per capacity", lines: true, policies: []string{"least outstanding", "two choices", designName}},
+		plot: plotSpec{x: "time (s)", y: "work per capacity", lines: true, policies: []string{"least outstanding", "two choices", designName, coreName}},
 		run: func(p policy, seed uint64) outcome {
 			c := runSwing(p, seed)
 			s := c.stats
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 )
 
-// Goal is an objective of design page section 1.5 for the policy "design".
+// Goal is an objective of design page section 1.5 for the policies of the design.
 type Goal struct {
 	AtMost bool // otherwise at least
 	Limit  float64
@@ -121,7 +121,7 @@
 				row := index[key]
 				if row == nil {
 					row = &Row{Variant: m.variant, Policy: p.name, Metric: m.metric}
-					if p.name == designName {
+					if p.name == designName || p.name == coreName {
 						row.Goal = m.goal
 					}
 					index[key] = row
--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -11,7 +11,7 @@
 func faults() *Experiment {
 	return &Experiment{
 		Name: "faults", Title: "Loss of an instance, and health endpoints that lie",
-		plot: plotSpec{x: "time (s)", y: "served at once (%)", lines: true, policies: []string{"least outstanding", "two choices", designName}},
+		plot: plotSpec{x: "time (s)", y: "served at once (%)", lines: true, policies: []string{"least outstanding", "two choices", designName, coreName}},
 		run: func(p policy, seed uint64) outcome {
 			lost := runFault(p, seed, 0.8, func(c *cluster) { c.kill(c.instances[instanceCount-1]) })
 			liars := runFault(p, seed, 0.6, killBehindLies)
--- a/internal/experiment/imbalance.go
+++ b/internal/experiment/imbalance.go
@@ -47,8 +47,14 @@
 	}
 }
 
-// disagree gives each instance a list that lacks another one.
+// disagree gives each instance a list that lacks another one. The lists of the
+// core are gossiped, so for it the links between two pairs of instances go
+// down instead.
 func disagree(c *cluster) {
+	for _, pair := range [][2]int{{0, 1}, {2, 3}} {
+		a, b := c.instances[pair[0]], c.instances[pair[1]]
+		c.cut[[2]*instance{a, b}], c.cut[[2]*instance{b, a}] = true, true
+	}
 	for i, in := range c.instances {
 		without := map[ids.Instance]bool{c.instances[(i+1)%instanceCount].id: true}
 		in.node.instances(c.now, c.serving(without))
--- /dev/null
+++ b/internal/experiment/platform.go
@@ -0,0 +1,94 @@
+package experiment
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/config"
+	"arbutusdock.example/arbutusdock/internal/core"
+	"arbutusdock.example/arbutusdock/internal/ids"
+)
+
+// platform is the configuration service of the model.
+type platform struct {
+	c         *cluster
+	published *config.Resolved // the last publication
+	documents []core.Published // latest of each key
+	revision  ids.Revision
+	watches   []watch
+}
+
+// watch is a pending watch of an instance.
+type watch struct {
+	n     *coreNode
+	after ids.Revision
+}
+
+const platformDelay = 3 * time.Millisecond
+
+// publish publishes the profile and the service of r once.
+func (p *platform) publish(r *config.Resolved) {
+	if p.published == r {
+		return
+	}
+	p.published = r
+	p.revision++
+	profile := core.Published{Key: "profile/" + r.Profile.Name, Revision: p.revision, Value: []byte(profileText(&r.Profile))}
+	p.revision++
+	service := core.Published{Key: "service/" + string(r.Service.Name), Revision: p.revision, Value: []byte(serviceText(&r.Service))}
+	p.documents = []core.Published{profile, service}
+	pending := p.watches
+	p.watches = nil
+	for _, w := range pending {
+		p.respond(w.n, w.after)
+	}
+}
+
+// read answers a read, and a watch once there is something newer.
+func (p *platform) read(n *coreNode, after ids.Revision, wait bool) {
+	if wait && after >= p.revision {
+		p.watches = append(p.watches, watch{n, after})
+		return
+	}
+	p.respond(n, after)
+}
+
+func (p *platform) respond(n *coreNode, after ids.Revision) {
+	e := &core.ConfigEvent{Upto: p.revision}
+	for _, d := range p.documents {
+		if d.Revision > after {
+			e.Documents = append(e.Documents, d)
+		}
+	}
+	p.c.after(platformDelay, func() {
+		n.call(func(now ids.Time, out *core.Effects) { n.core.Config(now, e, out) })
+	})
+}
+
+// profileText returns a profile in the form in which operators publish it.
+func profileText(p *config.Profile) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[spread]\nlong_share = %g\nlong_factor = %g\nslow_start_ms = %d\n\n",
+		p.Spread.LongShare, p.Spread.LongFactor, p.Spread.SlowStart.Milliseconds())
+	t := &p.Protect
+	fmt.Fprintf(&b, "[protect]\ndeadline_ms = %d\nqueue_time_ms = %d\nqueue_length = %d\nretry_ratio = %g\nmax_feeds = %d\n",
+		t.Deadline.Milliseconds(), t.QueueTime.Milliseconds(), t.QueueLength, t.RetryRatio, t.MaxFeeds)
+	fmt.Fprintf(&b, "idempotent = [%q]\nretry_after_min_ms = %d\nretry_after_max_ms = %d\n",
+		t.Idempotent[0], t.RetryAfterMin.Milliseconds(), t.RetryAfterMax.Milliseconds())
+	for _, partner := range p.Partners {
+		fmt.Fprintf(&b, "\n[[partner]]\nname = %q\nweight = %d\nhosts = [%q]\n", partner.Name, partner.Weight, partner.Hosts[0])
+	}
+	return b.String()
+}
+
+// serviceText returns a service in the form in which operators publish it.
+func serviceText(s *config.Service) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "address = \"0.0.0.0\"\nport = %d\nprofile = %q\n", s.Port, s.Profile)
+	for _, t := range s.Targets {
+		fmt.Fprintf(&b, "\n[[target]]\nname = %q\ndata_centre = %q\naddress = %q\nhealth = %q\nslots = %d\n",
+			t.Name, t.DataCentre, t.Address, t.Health, t.Slots)
+	}
+	return b.String()
+}
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -12,8 +12,12 @@
 	make func() maker
 }
 
-// designName is the policy that the objectives apply to.
-const designName = "design"
+// The policies that the objectives apply to: the real core, and the model of
+// its scheduling on the real spread and share packages.
+const (
+	coreName   = "core"
+	designName = "model of the design"
+)
 
 func policies() []policy {
 	return []policy{
@@ -22,6 +26,7 @@
 		{"least outstanding", func() maker { return newBaseline(pickLeastOutstanding) }},
 		{"two choices", func() maker { return newBaseline(pickTwoChoices(new(loads))) }},
 		{designName, func() maker { return newDesign }},
+		{coreName, func() maker { return newCore }},
 	}
 }
 
--- a/internal/experiment/shares.go
+++ b/internal/experiment/shares.go
@@ -40,7 +40,7 @@
 func shares() *Experiment {
 	return &Experiment{
 		Name: "shares", Title: "Two partners 3:1, then 1:1; partner b asks for ten times its first share",
-		plot: plotSpec{x: "time (s)", y: "partner a, share of the work", lines: true, policies: []string{"least outstanding", "two choices", designName}},
+		plot: plotSpec{x: "time (s)", y: "partner a, share of the work", lines: true, policies: []string{"least outstanding", "two choices", designName, coreName}},
 		run: func(p policy, seed uint64) outcome {
 			c := newCluster(seed, resolved(partners(3, 1)...), p.make())
 			a := &mix{partner: "a", shortMean: shortRun, peak: 0.9, load: func(t time.Duration) float64 {
@@ -72,7 +72,6 @@
 func sharesOutcome(c *cluster) outcome {
 	s := c.stats
 	both := map[ids.Partner]float64{"a": 0.9 * slotCount, "b": 2.5 * slotCount}
-	alone := map[ids.Partner]float64{"b": 2.5 * slotCount}
 	first, second := map[ids.Partner]uint32{"a": 3, "b": 1}, map[ids.Partner]uint32{"a": 1, "b": 1}
 	worst := func(from, to time.Duration, demand map[ids.Partner]float64, w map[ids.Partner]uint32) float64 {
 		e := 0.0
@@ -93,6 +92,12 @@
 	mean := func(from, to time.Duration, demand map[ids.Partner]float64, w map[ids.Partner]uint32) float64 {
 		return 100 * splitError(s.sum(from, to), to-from, demand, w)
 	}
+	// Refused callers of a still return while it is quiet, so the work of b alone
+	// says nothing about share that is lent.
+	least := math.Inf(1)
+	for t := quietStart; t+shareSpan <= quietEnd; t += windowLength {
+		least = min(least, s.sum(t, t+shareSpan).work.Seconds()/(slotCount*shareSpan.Seconds()))
+	}
 	curve := series{name: "share of a"}
 	for t := time.Duration(0); t < sharesRun; t += 2 * windowLength {
 		w := s.sum(t, t+2*windowLength)
@@ -106,8 +111,7 @@
 		{"", "error of the split 1:1 from 2 s after the change (%)", mean(agreedChange+settleIn, quietStart, both, second), &Goal{true, 5}},
 		{"", "worst error in any 0.5 s from 2 s after the change (%)", 100 * worst(agreedChange+settleIn, quietStart, both, second), nil},
 		{"", "time to reach the split 1:1 within 5% (s)", reach(agreedChange, quietStart, both, second), &Goal{true, 2}},
-		{"", "work of b while a is quiet (% of capacity)", 100 * s.sum(quietStart+time.Second, quietEnd).work.Seconds() / (slotCount * (quietEnd - quietStart - time.Second).Seconds()), &Goal{false, 95}},
-		{"", "time until b has all of the capacity (s)", reach(quietStart, quietEnd, alone, second), nil},
+		{"", "least work in any 0.5 s while a is quiet (% of capacity)", 100 * least, &Goal{false, 95}},
 		{"", "time until a has its share again (s)", reach(quietEnd, sharesRun, both, second), &Goal{true, 1}},
 	}}
 }
--- a/internal/experiment/sim.go
+++ b/internal/experiment/sim.go
@@ -11,7 +11,8 @@
 	"arbutusdock.example/arbutusdock/internal/ids"
 )
 
-// epoch is the virtual time at which a run starts. It is not zero because a
+// epoch is the virtual time at which a run starts, bootTime after the instances
+// did. It is not zero because a
 // zero time means "never" in places.
 const epoch = ids.Time(1_000_000 * int64(time.Second))
 
@@ -32,7 +33,7 @@
 }
 
 func newSim(seed uint64) *sim {
-	return &sim{now: epoch, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15))}
+	return &sim{now: epoch.Add(-bootTime), rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15))}
 }
 
 // elapsed returns the virtual time since the start of the run.
--- a/internal/experiment/workload.go
+++ b/internal/experiment/workload.go
@@ -53,21 +53,28 @@
 
 // request is one request of a caller, through all its transmissions.
 type request struct {
-	mix        *mix
-	caller     int
-	path       uint64
-	run        time.Duration
-	long       bool
-	claim      bool
-	sent       ids.Time // first transmission
-	attempt    ids.Time // last transmission that is not a repeat
-	tries      int      // attempts after a refusal included
-	repeats    int      // retransmissions of the current attempt
-	settled    bool     // answered, refused for good or given up
-	acked      bool
-	holder     *instance // has the request
-	waiting    bool      // refused, waiting for the time to come back
-	dispatched int       // times that it was sent to a backend server
+	mix     *mix
+	caller  int
+	path    uint64
+	run     time.Duration
+	long    bool
+	claim   bool
+	sent    ids.Time // first transmission
+	attempt ids.Time // last transmission that is not a repeat
+	tries   int      // attempts after a refusal included
+	repeats int      // retransmissions of the current attempt
+	settled bool     // answered, refused for good or given up
+	acked   bool
+	holder  *instance // has the request
+	waiting bool      // refused, waiting for the time to come back
+	// Used with the core only: the admission token, the number in the CoAP
+	// token, and the message id with the attempt that it belongs to.
+	echo   []byte
+	serial uint32
+	id     uint16
+	sentAs [2]int
+
+	dispatched int // times that it was sent to a backend server
 }
 
 // draw returns a new request of m.
