--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -12,8 +12,12 @@
 	make func() maker
 }
 
-// designName is the policy that the objectives apply to.
-const designName = "design"
+// The policies that the objectives apply to: the real core, and the model of
+// its scheduling on the real spread and share packages.
+const (
+	coreName   = "core"
+	designName = "model of the design"
+)
 
 func policies() []policy {
 	return []policy{
@@ -22,6 +26,7 @@
 		{"least outstanding", func() maker { return newBaseline(pickLeastOutstanding) }},
 		{"two choices", func() maker { return newBaseline(pickTwoChoices(new(loads))) }},
 		{designName, func() maker { return newDesign }},
+		{coreName, func() maker { return newCore }},
 	}
 }
 
@@ -34,7 +39,7 @@
 			Name:   "model",
 			Spread: config.Spread{LongShare: 0.6, LongFactor: 8, SlowStart: 2 * time.Second},
 			Protect: config.Protect{
-				Deadline: deadline, QueueTime: 500 * time.Millisecond, QueueLength: 500, RetryRatio: 0.1,
+				Deadline: deadline, QueueTime: 250 * time.Millisecond, QueueLength: 500, RetryRatio: 0.1,
 				MaxFeeds: 100, Idempotent: []string{"GET"},
 				RetryAfterMin: time.Second, RetryAfterMax: 60 * time.Second,
 			},
