--- a/Makefile
+++ b/Makefile
@@ -13,5 +13,8 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
+demo:
+	GO=$(GO) scripts/demo.sh
+
 experiment:
 	$(GO) run ./cmd/experiment --out docs/experiments
