--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -91,8 +91,8 @@
 // Issue writes the certificate and key of an instance to dir, as <id>.crt and
 // <id>.key.
 func (ca *CA) Issue(dir string, id ids.Instance, validity time.Duration) error {
-	if !validName(string(id)) {
-		return eris.Errorf("issue certificate: %q must be letters, digits, '.', '-' or '_'", id)
+	if !ids.ValidName(string(id)) {
+		return eris.Errorf("issue certificate: %q must be %s", id, ids.NameRule)
 	}
 	public, private, err := ed25519.GenerateKey(rand.Reader)
 	if err != nil {
@@ -112,13 +112,6 @@
 	return writePair(dir, string(id), der, private)
 }
 
-func validName(name string) bool {
-	bad := func(c rune) bool {
-		return (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && (c < '0' || c > '9') && !strings.ContainsRune(".-_", c)
-	}
-	return name != "" && len(name) <= 64 && strings.Trim(name, ".") == name && !strings.ContainsFunc(name, bad)
-}
-
 func newTemplate(name string, validity time.Duration) (*x509.Certificate, error) {
 	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 127))
 	if err != nil {
--- a/internal/settings/reader.go
+++ b/internal/settings/reader.go
@@ -12,13 +12,13 @@
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
 )
 
 // required is the default value of an integer key that has none.
 const required = -1
 
-const maxName = 64 // bytes of an instance or data centre name
-
 // Fault is one fault of a settings file.
 type Fault struct {
 	Line int    // 0 when the fault is a missing key
@@ -228,11 +228,8 @@
 
 func (r *reader) name(key string) string {
 	v := r.text(key)
-	bad := func(c rune) bool {
-		return (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && (c < '0' || c > '9') && c != '-' && c != '_' && c != '.'
-	}
-	if len(v) > maxName || strings.ContainsFunc(v, bad) {
-		r.fault(key, "must be 1 to %d letters, digits, '.', '-' or '_'", maxName)
+	if v != "" && !ids.ValidName(v) {
+		r.fault(key, "is %q, must be %s", v, ids.NameRule)
 	}
 	return v
 }
