--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -22,7 +22,7 @@
 	MaxDatagram = 65507
 	// Deadline is the number of the elective option that carries the time left
 	// for a request, in milliseconds (experimental range, RFC 7252 section 12.2).
-	Deadline coap.OptionID = 65001
+	Deadline coap.OptionID = 65000
 
 	headerBytes     = 4 // RFC 7252 section 3
 	maxOptionHeader = 5 // delta and length with their extensions, section 3.1
