telemetry: log the message of an error without its stack trace

Cause: the text handler formats errors with %+v, for which eris prints its stack; lines held paths of the build machine and were up to 900 bytes long. Change: the handler logs err.Error(). Measured: TestLogErrorWithoutStack fails before and passes after.

--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -14,7 +14,17 @@
 
 // NewLogger returns a logger that writes one key=value line for each event.
 func NewLogger(w io.Writer, level slog.Leveler, instance ids.Instance) *slog.Logger {
-	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})).With("instance", string(instance))
+	options := &slog.HandlerOptions{Level: level, ReplaceAttr: errorText}
+	return slog.New(slog.NewTextHandler(w, options)).With("instance", string(instance))
+}
+
+// errorText logs the message of an error only. The text handler formats values
+// with %+v, for which eris prints the stack trace.
+func errorText(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
+	return a
 }
 
 // Details splits the key=value words of a log detail into arguments for slog.
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 	"gotest.tools/v3/assert"
 
@@ -27,6 +28,13 @@
 	assert.Assert(t, strings.HasSuffix(line, `msg=config-applied instance=a1 revision=7 error="line 4: key=x" reason="two words"`+"\n"), line)
 }
 
+// Guards against stack traces, with paths of the build machine, in log lines.
+func TestLogErrorWithoutStack(t *testing.T) {
+	var out bytes.Buffer
+	NewLogger(&out, slog.LevelInfo, "a1").Warn("link-dial-failed", "error", eris.Wrap(eris.New("refused"), "dial"))
+	assert.Assert(t, strings.HasSuffix(out.String(), `error="dial: refused"`+"\n"), out.String())
+}
+
 // Guards against metrics that are missing from the page or break its JSON.
 func TestRegistryPage(t *testing.T) {
 	r := NewRegistry()
