arbutusdockd: test signals, a pause and exit codes; daemon: benchmarks

Cause: exit codes, the second SIGTERM and the return from a pause were documented but not tested; figures for a whole instance were missing. Change: process tests start the test binary as the daemon. BenchmarkInstance sends requests through a complete instance, BenchmarkControlTraffic measures the control bytes of five instances with the default budget.

--- /dev/null
+++ b/cmd/arbutusdockd/main_test.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"arbutusdock.example/arbutusdock/internal/keys"
+)
+
+// TestMain makes the test binary act as the daemon when it is started again
+// with the settings file in this variable.
+func TestMain(m *testing.M) {
+	if file := os.Getenv("ARBUTUSDOCKD_TEST_SETTINGS"); file != "" {
+		os.Args = []string{"arbutusdockd", file}
+		os.Exit(run())
+	}
+	os.Exit(m.Run())
+}
+
+type process struct {
+	t   *testing.T
+	cmd *exec.Cmd
+	log bytes.Buffer // read after the end only
+}
+
+func launch(t *testing.T, file string) *process {
+	p := &process{t: t, cmd: exec.Command(os.Args[0])}
+	p.cmd.Env = append(os.Environ(), "ARBUTUSDOCKD_TEST_SETTINGS="+file)
+	p.cmd.Stderr = &p.log
+	assert.NilError(t, p.cmd.Start())
+	t.Cleanup(func() { _ = p.cmd.Process.Kill() })
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) { assert.NilError(p.t, p.cmd.Process.Signal(s)) }
+
+// exit waits for the end and returns the exit code.
+func (p *process) exit() int {
+	p.t.Helper()
+	timer := time.AfterFunc(20*time.Second, func() { _ = p.cmd.Process.Kill() })
+	defer timer.Stop()
+	_ = p.cmd.Wait() // the code tells the result
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// write creates a settings file whose platform is unreachable.
+func write(t *testing.T, admin string) string {
+	dir := t.TempDir()
+	ca, err := keys.CreateCA(dir, "fleet", time.Hour)
+	assert.NilError(t, err)
+	assert.NilError(t, ca.Issue(dir, "a1", time.Hour))
+	assert.NilError(t, keys.CreateAdmissionKey(dir, 1))
+	file := filepath.Join(dir, "a1.toml")
+	text := fmt.Sprintf(`instance={id="a1",data_centre="a",linger="3s"}
+service.listen_ip="127.0.0.1"
+peer.listen="127.0.0.1:0"
+admin.listen=%q
+platform.url="http://127.0.0.1:1"
+tls={ca="ca.crt",certificate="a1.crt",key="a1.key"}
+admission={signing_key=1,key=[{id=1,file="admission-1.key"}]}
+`, admin)
+	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+	return file
+}
+
+// ready waits until the admin interface answers.
+func ready(t *testing.T, admin string) {
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if c, err := net.Dial("tcp", admin); err == nil {
+			_ = c.Close()
+			return
+		}
+	}
+	t.Fatal("the daemon did not start")
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// Guards against a graceful shutdown that does not end, and exit codes that
+// differ from the documented ones.
+func TestSignals(t *testing.T) {
+	admin := freeAddress(t)
+	p := launch(t, write(t, admin))
+	ready(t, admin)
+	p.signal(syscall.SIGTERM)
+	assert.Equal(t, p.exit(), exitStopped)
+	assert.Assert(t, strings.Contains(p.log.String(), "msg=stopped"), p.log.String())
+
+	p = launch(t, write(t, admin))
+	ready(t, admin)
+	p.signal(syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond)
+	start := time.Now()
+	p.signal(syscall.SIGTERM)
+	assert.Equal(t, p.exit(), exitForced)
+	assert.Assert(t, time.Since(start) < 2*time.Second)
+}
+
+// Guards against a process that serves on after a pause with what it knew
+// before.
+func TestPause(t *testing.T) {
+	admin := freeAddress(t)
+	p := launch(t, write(t, admin))
+	ready(t, admin)
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(1500 * time.Millisecond)
+	p.signal(syscall.SIGCONT)
+	time.Sleep(200 * time.Millisecond)
+	p.signal(syscall.SIGTERM)
+	assert.Equal(t, p.exit(), exitStopped)
+	assert.Assert(t, strings.Contains(p.log.String(), "msg=resumed"), p.log.String())
+}
+
+// Guards against wrong exit codes and messages for faults at the start.
+func TestFaultsAtStart(t *testing.T) {
+	p := launch(t, "missing.toml")
+	assert.Equal(t, p.exit(), exitUsage)
+	p = launch(t, "../../internal/settings/testdata/bad/many.toml")
+	assert.Equal(t, p.exit(), exitUsage)
+	assert.Assert(t, strings.Contains(p.log.String(), "settings: line 5: key instance.colour: unknown key\n"), p.log.String())
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	file := write(t, l.Addr().String())
+	p = launch(t, file)
+	assert.Equal(t, p.exit(), exitFailed)
+	assert.Assert(t, strings.Contains(p.log.String(), "address already in use"), p.log.String())
+
+	assert.NilError(t, os.WriteFile(filepath.Join(filepath.Dir(file), "admission-1.key"), []byte("short"), 0o600))
+	p = launch(t, file)
+	assert.Equal(t, p.exit(), exitUsage)
+}
--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -3,6 +3,9 @@
 import (
 	"net"
 	"net/netip"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -68,3 +71,81 @@
 	<-received
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "datagrams/s")
 }
+
+// BenchmarkInstance sends idempotent requests through one complete instance to
+// a backend server that responds at once, with at most 32 requests under way.
+// Callers, backend server and instance share this process, so that the CPU
+// time is that of all three.
+func BenchmarkInstance(b *testing.B) {
+	const window = 32
+	s := newSite(b, 64)
+	r := s.start(1)
+	at := netip.AddrPortFrom(r.ip, s.service.Port())
+	newCaller(b).get(at)
+	b.ReportAllocs()
+	b.ResetTimer()
+	start := cpuTime(b)
+	var left atomic.Int64
+	left.Store(int64(b.N))
+	var wg sync.WaitGroup
+	var failed atomic.Int64
+	for range window {
+		c := newCaller(b)
+		wg.Go(func() {
+			for left.Add(-1) >= 0 {
+				if m, ok := c.try(at, message.GET, nil, 2*time.Second); !ok || m.Code != message.Content {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	b.StopTimer()
+	assert.Equal(b, failed.Load(), int64(0))
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+	b.ReportMetric(float64((cpuTime(b)-start).Nanoseconds())/float64(b.N), "cpu-ns/request")
+	time.Sleep(publishEvery + 2*tickEvery)
+	p := r.d.loop.published.Load()
+	b.Logf("requests %d, answered %d, refused %d", p.counts.Requests, p.counts.Answered, p.counts.Refused)
+}
+
+func cpuTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkControlTraffic starts five instances with the default budget and
+// reports the control bytes that one of them sends in a second when nothing
+// changes, and the most that any of them sent while joining, budget included.
+func BenchmarkControlTraffic(b *testing.B) {
+	const instances, period = 5, 10 * time.Second
+	for range b.N {
+		s := newSite(b, 2)
+		first := s.start(1)
+		for n := 2; n <= instances; n++ {
+			s.start(n, first.seed())
+		}
+		sent := func() (sum, most int64) {
+			for _, r := range s.daemons {
+				v := r.d.metrics.Counter("link_control_sent_bytes_total").Value()
+				sum, most = sum+v, max(most, v)
+			}
+			return sum, most
+		}
+		for _, r := range s.daemons {
+			newCaller(b).get(netip.AddrPortFrom(r.ip, s.service.Port()))
+		}
+		time.Sleep(period)
+		before, joined := sent()
+		time.Sleep(period)
+		after, _ := sent()
+		b.ReportMetric(float64(after-before)/instances/period.Seconds(), "control-B/s/instance")
+		b.ReportMetric(float64(joined), "B-joining-and-10s")
+		dropped := int64(0)
+		for _, r := range s.daemons {
+			dropped += r.d.metrics.Counter("link_control_budget_dropped_total").Value()
+		}
+		b.ReportMetric(float64(dropped), "heartbeats-over-budget")
+	}
+}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -79,7 +79,7 @@
 	return l.b.String()
 }
 
-func newSite(t testing.TB) *site {
+func newSite(t testing.TB, slots int) *site {
 	s := &site{t: t, dir: t.TempDir(), service: netip.AddrPortFrom(loopback, freePort(t))}
 	var err error
 	s.ca, err = keys.CreateCA(s.dir, "fleet", time.Hour)
@@ -90,8 +90,8 @@
 		_, _ = io.WriteString(w, `{"status":"ok","load":0}`)
 	}))
 	t.Cleanup(health.Close)
-	service := fmt.Sprintf("port = %d\nprofile = \"p\"\n[[target]]\nname = \"t1\"\ndata_centre = \"a\"\naddress = %q\nhealth = %q\nslots = 2\n",
-		s.service.Port(), backend, health.URL)
+	service := fmt.Sprintf("port = %d\nprofile = \"p\"\n[[target]]\nname = \"t1\"\ndata_centre = \"a\"\naddress = %q\nhealth = %q\nslots = %d\n",
+		s.service.Port(), backend, health.URL, slots)
 	s.platform = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.servePlatform(w, r, service) }))
 	t.Cleanup(s.platform.Close)
 	return s
@@ -157,7 +157,6 @@
 platform.url = %q
 tls = { ca = "ca.crt", certificate = "%s.crt", key = "%s.key" }
 admission = { signing_key = 1, key = [{ id = 1, file = "admission-1.key" }] }
-link.control_bytes_per_second = 65536
 `, id, ip, ip, s.platform.URL, id, id)
 	config, err := settings.Parse([]byte(text))
 	assert.NilError(s.t, err)
@@ -242,7 +241,7 @@
 // without a token that is executed, a claim that is executed twice, and a
 // graceful shutdown that does not end.
 func TestServesEndToEnd(t *testing.T) {
-	s := newSite(t)
+	s := newSite(t, 2)
 	r := s.start(1)
 	at := netip.AddrPortFrom(r.ip, s.service.Port())
 	c := newCaller(t)
@@ -270,7 +269,7 @@
 // is honoured when the retry arrives at another, which relays it, and requests
 // survive the planned stop of the instance that issued it.
 func TestTwoInstances(t *testing.T) {
-	s := newSite(t)
+	s := newSite(t, 2)
 	one := s.start(1)
 	two := s.start(2, one.seed())
 	at1, at2 := netip.AddrPortFrom(one.ip, s.service.Port()), netip.AddrPortFrom(two.ip, s.service.Port())
@@ -298,7 +297,7 @@
 
 // Guards against an admin interface that is incomplete or crashes on input.
 func TestAdmin(t *testing.T) {
-	s := newSite(t)
+	s := newSite(t, 2)
 	r := s.start(1)
 	newCaller(t).get(netip.AddrPortFrom(r.ip, s.service.Port()))
 	fetch := func(path string) (int, string) {
