config: keep stores equal when a good value was missed

Entries with a refused revision now also travel at their good revision, and Document.Unconfirmed (additive, key 5) marks those whose last good value may be missing until a peer confirms it.

--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -33,20 +33,30 @@
 	refused  ids.Revision // 0 unless a later publication was refused
 	profile  *Profile
 	service  *Service
-	// unconfirmed: the refusal was read from the platform, which no longer
-	// has the values before it. A peer may know a later good value.
+	// unconfirmed: a good value between revision and refused may have been
+	// missed, since a read of the platform returned only the latest one.
 	unconfirmed bool
 }
 
-// changed is the revision at which the state of the key last changed.
-func (e *entry) changed() ids.Revision { return max(e.revision, e.refused) }
+// position is the place of an entry in the order of deltas. An entry with a
+// refused revision has two: one at its good revision too, so that a store
+// which has applied the parts of a delta up to some revision has missed no
+// good value up to it that is still in force.
+type position struct {
+	at    ids.Revision
+	entry *entry
+}
+
+func (a position) compare(b position) int {
+	return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.entry.key, b.entry.key))
+}
 
 // Store holds the documents by key, the resolved services and the revision in
 // force. The zero value is empty and ready to use.
 type Store struct {
 	revision    ids.Revision
 	entries     map[string]*entry
-	order       []*entry // by changed(), then key
+	order       []position // sorted
 	resolved    map[ids.Service]*Resolved
 	unconfirmed int
 }
@@ -59,12 +69,13 @@
 	for i := range docs {
 		d := &docs[i]
 		e := m.entry(d.Key)
+		before := e.refused
 		if d.Revision > 0 {
 			m.merge(e, d.Revision, d.Value)
 		}
 		m.refuse(e, d.Refused)
-		if max(d.Refused, d.Revision) >= e.refused {
-			s.setUnconfirmed(e, false)
+		if e.refused != 0 && e.refused == d.Refused && (!d.Unconfirmed || before != e.refused) {
+			s.setUnconfirmed(e, d.Unconfirmed)
 		}
 	}
 	return m.finish(upto)
@@ -75,14 +86,18 @@
 // resolved state changed, and why publications were refused.
 func (s *Store) Publish(p []Publication, upto ids.Revision) (changed []ids.Service, refused []Refusal) {
 	m := merger{s: s}
+	next := s.revision + 1 // all revisions before it are accounted for
 	for i := range p {
+		if p[i].Revision == next {
+			next++
+		}
 		e := m.entry(p[i].Key)
 		before := e.refused
 		if err := m.merge(e, p[i].Revision, p[i].Value); err != nil {
 			refused = append(refused, Refusal{p[i].Key, p[i].Revision, err})
 		}
 		if e.refused > before {
-			s.setUnconfirmed(e, true)
+			s.setUnconfirmed(e, e.unconfirmed || p[i].Revision >= next)
 		}
 	}
 	return m.finish(upto), refused
@@ -105,8 +120,8 @@
 	if s.unconfirmed == 0 {
 		return 0, false
 	}
-	for _, e := range s.order {
-		if e.unconfirmed {
+	for _, p := range s.order {
+		if e := p.entry; e.unconfirmed && p.at == e.refused {
 			return e.refused - 1, true
 		}
 	}
@@ -129,7 +144,6 @@
 	if e == nil {
 		e = &entry{key: key}
 		m.s.entries[key] = e
-		m.s.place(e)
 	}
 	return e
 }
@@ -169,7 +183,7 @@
 
 // refuse records that revision r of the key is not in force.
 func (m *merger) refuse(e *entry, r ids.Revision) {
-	if r > e.changed() {
+	if r > max(e.revision, e.refused) {
 		m.s.displace(e)
 		e.refused = r
 		m.s.place(e)
@@ -195,7 +209,7 @@
 	s := m.s
 	s.revision = max(s.revision, upto)
 	if len(m.profiles) > 0 {
-		for _, e := range s.order {
+		for _, e := range s.entries {
 			if e.service != nil && m.profiles[e.service.Profile] {
 				m.note(e)
 			}
@@ -244,19 +258,21 @@
 	return nil, nil, &DocumentError{key, []Fault{{Problem: "unknown kind of document, allowed: profile/<name>, service/<name>"}}}
 }
 
-// byChange orders the entries for deltas.
-func byChange(a, b *entry) int {
-	return cmp.Or(cmp.Compare(a.changed(), b.changed()), cmp.Compare(a.key, b.key))
-}
-
 func (s *Store) place(e *entry) {
-	i, _ := slices.BinarySearchFunc(s.order, e, byChange)
-	s.order = slices.Insert(s.order, i, e)
+	for _, at := range []ids.Revision{e.revision, e.refused} {
+		if at != 0 {
+			p := position{at, e}
+			i, _ := slices.BinarySearchFunc(s.order, p, position.compare)
+			s.order = slices.Insert(s.order, i, p)
+		}
+	}
 }
 
 func (s *Store) displace(e *entry) {
-	if i, ok := slices.BinarySearchFunc(s.order, e, byChange); ok {
-		s.order = slices.Delete(s.order, i, i+1)
+	for _, at := range []ids.Revision{e.revision, e.refused} {
+		if i, ok := slices.BinarySearchFunc(s.order, position{at, e}, position.compare); ok {
+			s.order = slices.Delete(s.order, i, i+1)
+		}
 	}
 }
 
@@ -264,23 +280,43 @@
 // document if there is one, and further ones up to about maxBytes. More tells
 // that a request after Upto gets the rest.
 func (s *Store) Delta(after ids.Revision, maxBytes int) *peerwire.ConfigDelta {
-	i, _ := slices.BinarySearchFunc(s.order, after, func(e *entry, r ids.Revision) int {
-		if e.changed() <= r {
+	i, _ := slices.BinarySearchFunc(s.order, after, func(p position, r ids.Revision) int {
+		if p.at <= r {
 			return -1
 		}
 		return 1
 	})
 	d := &peerwire.ConfigDelta{Upto: s.revision}
-	size := 0
-	for _, e := range s.order[i:] {
+	size, last := 0, after
+	add := func(e *entry) {
 		// A document also carries its key, two revisions and CBOR headers.
 		size += len(e.key) + len(e.value) + 24
-		if size > maxBytes && len(d.Documents) > 0 {
-			d.More = true
-			d.Upto = min(s.revision, s.order[i+len(d.Documents)-1].changed())
+		d.Documents = append(d.Documents, peerwire.Document{Key: e.key, Revision: e.revision, Value: e.value,
+			Refused: e.refused, Unconfirmed: e.unconfirmed})
+	}
+	if s.unconfirmed > 0 {
+		// These come first: otherwise the receiver of a part would count as
+		// complete up to a revision at which this store lacks a value.
+		for _, p := range s.order[i:] {
+			if p.entry.unconfirmed && p.at == p.entry.refused {
+				add(p.entry)
+			}
+		}
+	}
+	parts := 0
+	for _, p := range s.order[i:] {
+		e := p.entry
+		if e.unconfirmed || p.at == e.refused && e.revision > after {
+			last = p.at // included above
+			continue
+		}
+		if parts > 0 && size+len(e.key)+len(e.value)+24 > maxBytes {
+			d.More, d.Upto = true, min(s.revision, last)
 			break
 		}
-		d.Documents = append(d.Documents, peerwire.Document{Key: e.key, Revision: e.revision, Value: e.value, Refused: e.refused})
+		add(e)
+		parts++
+		last = p.at
 	}
 	return d
 }
@@ -303,7 +339,7 @@
 	return list
 }
 
-// Documents returns the state of all keys in the order of their last change.
+// Documents returns the state of all keys in the order of their revisions.
 func (s *Store) Documents() []peerwire.Document {
 	return s.Delta(0, int(^uint(0)>>1)).Documents
 }
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -70,6 +71,7 @@
 	publish(&a, "profile/standard", 1, profileDoc(100))
 	publish(&a, "profile/standard", 2, []byte("x"))
 	publish(&b, "profile/standard", 2, []byte("x"))
+	assert.Assert(t, a.Delta(0, big).Documents[0].Unconfirmed == false)
 	assert.Equal(t, a.Revision(), b.Revision())
 	after, ok := b.Wanted()
 	assert.Assert(t, ok)
@@ -124,9 +126,12 @@
 	rapid.Check(t, func(t *rapid.T) {
 		platform := history(t)
 		read := func(s *Store, upto int) {
+			// Some reads return only the latest publication of each key.
+			latest := rapid.Bool().Draw(t, "latest only")
 			var p []Publication
-			for _, x := range platform[:upto] {
-				if x.Revision > s.Revision() {
+			for i, x := range platform[:upto] {
+				later := slices.ContainsFunc(platform[i+1:upto], func(o Publication) bool { return o.Key == x.Key })
+				if x.Revision > s.Revision() && !(latest && later) {
 					p = append(p, x)
 				}
 			}
--- a/internal/config/sync.go
+++ b/internal/config/sync.go
@@ -22,8 +22,11 @@
 	joinGap      = 500 * time.Millisecond // between reads while joining
 	// staleGap is the least time until the next read of a platform that is
 	// behind the peers; 2,500 instances cause at most 1,250 reads a second.
-	staleGap  = 2 * time.Second
-	wantedGap = 5 * time.Second // between requests for a good value that was missed
+	staleGap = 2 * time.Second
+	// Time between requests for a good value that may have been missed; it
+	// doubles, since perhaps no peer knows one.
+	wantedMin = 5 * time.Second
+	wantedMax = 5 * time.Minute
 
 	// joinPeers is the time that a joining instance gives its peers before it
 	// also reads the platform; joinAlone applies while none has been heard.
@@ -82,6 +85,7 @@
 	askedAt   ids.Time
 	attempts  int // requests to peers without an answer
 	wantedAt  ids.Time
+	wantedGap time.Duration
 	inFlight  bool // a read or watch of the platform
 	watching  bool // it is a watch
 	sentAt    ids.Time
@@ -252,11 +256,16 @@
 	least := have + 1
 	if !behind {
 		var wanted bool
-		if after, wanted = s.Wanted(); !wanted || now < y.wantedAt {
+		if after, wanted = s.Wanted(); !wanted {
+			y.wantedGap = 0
+			return
+		}
+		if now < y.wantedAt {
 			return
 		}
 		least = 0
-		y.wantedAt = now.Add(wantedGap)
+		y.wantedGap = min(max(2*y.wantedGap, wantedMin), wantedMax)
+		y.wantedAt = now.Add(y.wantedGap)
 	}
 	var list []ids.Instance
 	for id, p := range y.peers {
--- a/internal/peerwire/peerwire.go
+++ b/internal/peerwire/peerwire.go
@@ -105,6 +105,9 @@
 	Revision ids.Revision `cbor:"2,keyasint"` // of Value; 0 when no good value is known
 	Value    []byte       `cbor:"3,keyasint"` // nil when deleted at Revision
 	Refused  ids.Revision `cbor:"4,keyasint,omitempty"`
+	// Unconfirmed tells that the sender may have missed a good value between
+	// Revision and Refused; the receiver then asks other peers as well.
+	Unconfirmed bool `cbor:"5,keyasint,omitempty"`
 }
 
 // ConfigDelta answers a ConfigRequest. More tells that further documents
