--- a/internal/spread/pool_test.go
+++ b/internal/spread/pool_test.go
@@ -253,3 +253,44 @@
 		assert.Assert(t, ok)
 	}
 }
+
+// Guards against decisions that depend on the order of a map: the core promises
+// that two runs with the same events decide alike.
+func TestPoolIsDeterministic(t *testing.T) {
+	trace := func() (list []ids.Target) {
+		f := newFixture(12)
+		for i := range 60 {
+			if i%20 == 10 {
+				f.r.Service.Targets = resolved("s", 9+i%7).Service.Targets
+				f.SetService(f.now, f.r)
+			}
+			name, _ := f.request(uint64(i%3), time.Duration(i%7+1)*time.Millisecond, Success)
+			feed, _, _ := f.pool.OpenFeed(f.now, "")
+			list = append(list, name, feed)
+		}
+		return list
+	}
+	first := trace()
+	for range 5 {
+		assert.DeepEqual(t, trace(), first)
+	}
+}
+
+// Guards against work for the garbage collector on the path of every request.
+func TestSteadyStateDoesNotAllocate(t *testing.T) {
+	f := newFixture(15)
+	due := func(ids.Service, ids.Target, string) {}
+	key := uint64(0)
+	cycle := func() {
+		l, _ := f.pool.Acquire(f.now, f.pool.Classify(key%50), "")
+		key++
+		f.now = f.now.Add(10 * time.Millisecond)
+		f.pool.Release(f.now, l, key%50, Success)
+		f.Home("s", key)
+		f.Tick(f.now, due)
+	}
+	for range 200 {
+		cycle()
+	}
+	assert.Equal(t, testing.AllocsPerRun(1000, cycle), 0.0)
+}
