--- a/cmd/arbutusdock/check.go
+++ b/cmd/arbutusdock/check.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -87,21 +88,36 @@
 
 // faultLines returns one line for each fault in err.
 func faultLines(err error) []string {
-	switch e := err.(type) {
-	case nil:
+	var (
+		faults   settings.Faults
+		document *config.DocumentError
+	)
+	switch {
+	case err == nil:
 		return nil
-	case settings.Faults:
-		lines := make([]string, len(e))
-		for i, f := range e {
+	case errors.As(err, &faults):
+		lines := make([]string, len(faults))
+		for i, f := range faults {
 			lines[i] = f.Error()
 		}
 		return lines
-	case interface{ Unwrap() []error }:
-		var lines []string
-		for _, one := range e.Unwrap() {
-			lines = append(lines, faultLines(one)...)
+	case errors.As(err, &document):
+		lines := make([]string, len(document.Faults))
+		for i, f := range document.Faults {
+			lines[i] = documentFault(f)
 		}
 		return lines
 	}
-	return strings.Split(strings.TrimSpace(err.Error()), "\n")
+	return []string{err.Error()}
+}
+
+func documentFault(f config.Fault) string {
+	text := f.Problem
+	if f.Key != "" {
+		text = "key " + f.Key + ": " + text
+	}
+	if f.Line > 0 {
+		text = fmt.Sprintf("line %d: %s", f.Line, text)
+	}
+	return text
 }
--- a/cmd/arbutusdock/main_test.go
+++ b/cmd/arbutusdock/main_test.go
@@ -55,6 +55,13 @@
 	assert.Equal(t, code, exitFailed)
 	assert.Assert(t, strings.Contains(out, "many.toml: line 5: key instance.colour: unknown key\n"), out)
 	assert.Assert(t, strings.Contains(out, "full.toml: no faults\n"), out)
+	const documents = "../../internal/config/testdata/"
+	code, out, _ = call("check", documents+"bad/profile-ranges.toml", documents+"bad/service-ranges.toml")
+	assert.Equal(t, code, exitFailed)
+	assert.Assert(t, strings.Contains(out, "profile-ranges.toml: line 2: key spread.long_share: "), out)
+	assert.Assert(t, strings.Contains(out, "service-ranges.toml: line "), out)
+	code, out, _ = call("check", documents+"good/profile-full.toml", documents+"good/service-counter.toml")
+	assert.Equal(t, code, exitSuccess, out)
 	code, _, _ = call("check", testdata+"good/full.toml")
 	assert.Equal(t, code, exitSuccess)
 }
