spread: leave targets whose slots another instance has taken over

Pool.Leaving looked at the published drain only once a target was no longer owned, and its health was not checked any more. Feeds stayed at a backend server whose health endpoint reported a drain, and follow-up blocks waited for a slot that never became free here.

The new test fails without the change.

--- a/internal/spread/pool.go
+++ b/internal/spread/pool.go
@@ -306,14 +306,17 @@
 // code and Uri-Path.
 func (p *Pool) Classify(key uint64) Class { return p.predictor.classify(key) }
 
-// Leaving reports whether target is draining or no longer part of the service.
+// Leaving reports whether target is draining, no longer part of the service or
+// not owned here. The health of a target that is not owned is not checked, so a
+// drain that only its health endpoint reports would go unnoticed, and no slot
+// of it will become free here.
 func (p *Pool) Leaving(name ids.Target) bool {
 	draining, known := p.known[name]
 	if !known || draining {
 		return true
 	}
 	i, ok := p.byName[name]
-	return ok && p.targets[i].leaving()
+	return !ok || p.targets[i].owned == 0 || p.targets[i].leaving()
 }
 
 // Targets appends the state of all owned targets to dst, in order of name.
--- a/internal/spread/pool_test.go
+++ b/internal/spread/pool_test.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -196,6 +197,24 @@
 	assert.Assert(t, f.Pool("s") == nil)
 }
 
+// Guards against feeds that stay at a target whose slots another instance has
+// taken over: its health is not checked here, so a drain would go unnoticed.
+func TestTargetOfAnotherOwnerIsLeft(t *testing.T) {
+	f := newFixture(3)
+	f.SetInstances(f.now, names(3))
+	f.pool = f.Pool("s")
+	for i := range 3 {
+		name := ids.Target(fmt.Sprintf("t%05d", i))
+		j, ok := f.pool.byName[name]
+		assert.Equal(t, f.pool.Leaving(name), !ok || f.pool.targets[j].owned == 0, "%s", name)
+	}
+	f.SetInstances(f.now, names(1))
+	name, _, _ := f.pool.OpenFeed(f.now, "")
+	assert.Assert(t, !f.pool.Leaving(name))
+	f.SetInstances(f.now, []ids.Instance{"instance-001", "instance-002"})
+	assert.Assert(t, f.pool.Leaving(name))
+}
+
 // Guards against feeds that pile up on one target, exceed the limit of the
 // profile or go to a target that is leaving.
 func TestFeedsAreEvenAndBounded(t *testing.T) {
--- a/internal/standin/backend/feeds.go
+++ b/internal/standin/backend/feeds.go
@@ -24,6 +24,7 @@
 	token  message.Token
 	cc     *client.Conn
 	cancel context.CancelFunc
+	opened time.Time
 	muted  bool // guarded by Server.mu: stays open, sends nothing more
 }
 
@@ -57,7 +58,7 @@
 	cc := w.Conn()
 	ctx, cancel := context.WithCancel(cc.Context())
 	o := &observer{
-		key: cc.RemoteAddr().String() + "/" + string(q.token), feed: q.feed(), token: q.token, cc: cc, cancel: cancel,
+		key: cc.RemoteAddr().String() + "/" + string(q.token), feed: q.feed(), token: q.token, cc: cc, cancel: cancel, opened: time.Now(),
 	}
 	s.mu.Lock()
 	old := s.observers[o.key]
@@ -132,6 +133,7 @@
 		switch {
 		case quiet:
 		case cut:
+			s.group.opt.Logger.Warn("feed-cut", "target", s.target.Name, "feed", o.feed, "peer", o.cc.RemoteAddr(), "open_for", time.Since(o.opened))
 			_ = s.notify(ctx, o, codes.ServiceUnavailable, nil, seq) // the feed ends either way
 			return
 		case s.notify(ctx, o, codes.Content, wire.Reading(s.service, o.feed, seq), seq) == nil:
--- a/internal/standin/caller/feed.go
+++ b/internal/standin/caller/feed.go
@@ -171,6 +171,8 @@
 			n.Opened++
 		case seq == f.seq:
 			n.Repeated++
+		case seq < f.seq:
+			n.Older++
 		case seq > f.seq+1:
 			n.Missing += int(seq - f.seq - 1)
 		}
--- a/internal/standin/report/report.go
+++ b/internal/standin/report/report.go
@@ -232,10 +232,10 @@
 				k.Unknown, k.Lost, k.Wrong, k.Failed, k.Comebacks, k.Repeats, ms(k.P50), ms(k.P99), ms(k.Max))
 		}
 	}
-	fmt.Fprintln(t, "\nuser\tfeeds opened\treadings\tmissing\trepeated\trefreshes\tbreaks\t")
+	fmt.Fprintln(t, "\nuser\tfeeds opened\treadings\tmissing\trepeated\tolder\trefreshes\tbreaks\t")
 	for _, c := range in.Callers {
 		f := c.Feeds
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t\n", c.User, f.Opened, f.Readings, f.Missing, f.Repeated, f.Refreshes, f.Breaks)
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", c.User, f.Opened, f.Readings, f.Missing, f.Repeated, f.Older, f.Refreshes, f.Breaks)
 	}
 	fmt.Fprintln(t, "\nservice\trequests\truns\tshed\tcancelled\texpired\tforeign\tfeeds cut\tlate work\t")
 	sum := map[string]wire.TargetCounts{}
--- a/internal/standin/wire/counts.go
+++ b/internal/standin/wire/counts.go
@@ -87,8 +87,9 @@
 type Feeds struct {
 	Opened    int `json:"opened"`
 	Readings  int `json:"readings"`
-	Missing   int `json:"missing"` // sequence numbers never seen
-	Repeated  int `json:"repeated"`
+	Missing   int `json:"missing"`  // sequence numbers never seen
+	Repeated  int `json:"repeated"` // the newest reading again
+	Older     int `json:"older"`    // a reading older than one already seen
 	Refreshes int `json:"refreshes"`
 	Breaks    int `json:"breaks"`
 }
