daemon: own ring for control messages; shorter watches; traces across instances

Cause: a flood of relays could fill the ring that also carried heartbeats. A watch that had gone silent was noticed after 32 s, though a publication is to take effect within 5 s. A relayed request got another trace id at the second instance. A dial of 1 s is short for three round trips between regions. Change: control-lane messages have a ring of their own; a watch waits 3 s and times out after 4 s; trace id and sampling depend on the request number alone, which relays carry; a dial may take 2 s.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -65,7 +65,8 @@
 
 	callers  *ring.Ring[*packet]
 	backends *ring.Ring[*packet]
-	messages *ring.Ring[*peerwire.Message]
+	messages *ring.Ring[*peerwire.Message] // data lane
+	signals  *ring.Ring[*peerwire.Message] // control lane, which a flood of relays must not push out
 	control  *ring.Ring[event]
 	spans    *ring.Ring[telemetry.Hop]
 	queries  chan func()
@@ -151,7 +152,7 @@
 		d.traces = telemetry.NewWriter(target, logLines)
 		to = d.traces
 	}
-	tracer, err := telemetry.NewTracer(to, d.settings.Trace.Sample, d.self.ID, d.self.Incarnation)
+	tracer, err := telemetry.NewTracer(to, d.settings.Trace.Sample, d.self.ID)
 	d.tracer = tracer
 	return err
 }
@@ -178,6 +179,7 @@
 	d.callers = ring.New[*packet](r.Caller)
 	d.backends = ring.New[*packet](r.Backend)
 	d.messages = ring.New[*peerwire.Message](r.Peer)
+	d.signals = ring.New[*peerwire.Message](r.Control)
 	d.control = ring.New[event](r.Control)
 	d.spans = ring.New[telemetry.Hop](spanQueue)
 	d.queries = make(chan func())
@@ -195,8 +197,12 @@
 		DataIdle: s.Link.DataIdle, Log: d.log, Metrics: d.metrics,
 		Address: d.addresses.lookup,
 		Receive: func(m *peerwire.Message) {
+			if m.Lane() == peerwire.Data {
+				d.messages.Push(m)
+				return
+			}
 			d.addresses.learn(m)
-			d.messages.Push(m)
+			d.signals.Push(m)
 		},
 	})
 	d.listeners = newListeners(s.ServiceIP, d.callers, s.Rings.Write, d.log, d.metrics)
@@ -211,7 +217,7 @@
 	}
 	d.loop.init(d)
 	for name, stats := range map[string]func() ring.Stats{
-		"caller": d.callers.Stats, "backend": d.backends.Stats, "peer": d.messages.Stats, "control": d.control.Stats,
+		"caller": d.callers.Stats, "backend": d.backends.Stats, "peer": d.messages.Stats, "signal": d.signals.Stats, "control": d.control.Stats,
 		"span": d.spans.Stats, "log": d.logs.Stats, "write_backend": d.backend.out.Stats,
 	} {
 		d.metrics.Ring(name, stats)
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -96,6 +96,8 @@
 			p.release()
 		case m := <-l.d.messages.Out():
 			l.peer(m)
+		case m := <-l.d.signals.Out():
+			l.peer(m)
 		case e := <-l.d.control.Out():
 			l.control(e)
 		case query := <-l.d.queries:
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -25,7 +25,9 @@
 )
 
 const (
-	dialTimeout  = 1 * time.Second
+	// dialTimeout covers TCP, TLS and WebSocket handshakes, three round trips,
+	// between regions and on a busy machine.
+	dialTimeout  = 2 * time.Second
 	writeTimeout = 1 * time.Second
 	// A connection that was written to but has delivered nothing for this
 	// long is probed with a ping, and closed when there is no pong within the
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -25,9 +25,13 @@
 	// ReadTimeout bounds a call without a wait. The platform answers in
 	// milliseconds when it is up.
 	ReadTimeout = 2 * time.Second
-	// WatchWait is the time for which the platform holds a watch. A proxy or
-	// firewall between the two commonly drops connections idle for 60 s.
-	WatchWait = 30 * time.Second
+	// WatchWait is the time for which the platform holds a watch, and WatchSlack
+	// the time allowed beyond it. A connection that has gone silent is noticed
+	// after their sum and replaced, within the 5 s in which a publication is to
+	// take effect. Two watchers in each of ten data centres cause 7 reads a
+	// second of the platform's 2,000.
+	WatchWait  = 3 * time.Second
+	WatchSlack = 1 * time.Second
 	// MaxBody bounds a response. A page holds at most 1 MB of values; JSON
 	// escaping can make them up to six times as long.
 	MaxBody = 6<<20 + 256<<10
@@ -95,7 +99,7 @@
 	timeout := ReadTimeout
 	if watch {
 		query.Set("wait", strconv.Itoa(int(WatchWait/time.Second)))
-		timeout += WatchWait
+		timeout = WatchWait + WatchSlack
 	}
 	var body documentsBody
 	if err := c.get(ctx, "/v1/documents?"+query.Encode(), timeout, &body); err != nil {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"log/slog"
 	"net/http/httptest"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 	"gotest.tools/v3/assert"
 
@@ -56,7 +58,7 @@
 // sampling share that is not kept.
 func TestSpans(t *testing.T) {
 	spans := tracetest.NewSpanRecorder()
-	tr := newTracer(spans, 0.25, "a1", 9)
+	tr := newTracer(spans, 0.25, "a1")
 	sampled := 0
 	for i := range uint64(4000) {
 		if tr.Sampled(i) {
@@ -69,20 +71,29 @@
 	ended := spans.Ended()
 	assert.Equal(t, len(ended), 2*sampled)
 	assert.Equal(t, ended[0].SpanContext().TraceID(), ended[1].SpanContext().TraceID())
+	other := tracetest.NewSpanRecorder()
+	newTracer(other, 1, "a2").Record(Hop{Name: "relayed", Request: binary.BigEndian.Uint64(traceBytes(ended[0])), Start: time.Unix(1, 0)})
+	assert.Equal(t, ended[0].SpanContext().TraceID(), other.Ended()[0].SpanContext().TraceID(), "at another instance")
 	assert.Equal(t, ended[0].EndTime().Sub(ended[0].StartTime()), time.Second)
 	assert.NilError(t, tr.Close(context.Background()))
 }
 
+// traceBytes returns the request number in the trace id of a span.
+func traceBytes(s sdktrace.ReadOnlySpan) []byte {
+	id := s.SpanContext().TraceID()
+	return id[8:]
+}
+
 // Guards against an exporter that loses buffered spans at the end, and a
 // disabled tracer that records.
 func TestExporter(t *testing.T) {
 	var out bytes.Buffer
-	tr, err := NewTracer(&out, 1, "a1", 9)
+	tr, err := NewTracer(&out, 1, "a1")
 	assert.NilError(t, err)
 	tr.Record(Hop{Name: "received", Request: 1, Start: time.Unix(1, 0)})
 	assert.NilError(t, tr.Close(context.Background()))
 	assert.Assert(t, strings.Contains(out.String(), `"Name":"received"`))
-	off, err := NewTracer(nil, 1, "a1", 9)
+	off, err := NewTracer(nil, 1, "a1")
 	assert.NilError(t, err)
 	assert.Assert(t, !off.Sampled(1))
 	assert.NilError(t, off.Close(context.Background()))
--- a/internal/telemetry/trace.go
+++ b/internal/telemetry/trace.go
@@ -19,7 +19,7 @@
 // Hop describes one span: a step of a request at this instance.
 type Hop struct {
 	Name     string
-	Request  uint64 // identifies the request within the instance
+	Request  uint64 // identifies the request; relays carry it to other instances
 	Service  ids.Service
 	Target   ids.Target // empty when no backend server is involved
 	Start    time.Time
@@ -28,15 +28,14 @@
 
 // Tracer turns hops of sampled requests into spans.
 type Tracer struct {
-	provider    *sdktrace.TracerProvider
-	tracer      trace.Tracer
-	incarnation ids.Incarnation
-	below       uint64 // a request is sampled when its hash is below this
+	provider *sdktrace.TracerProvider
+	tracer   trace.Tracer
+	below    uint64 // a request is sampled when its hash is at most this
 }
 
 // NewTracer returns a tracer that writes to w, or one that records nothing
 // when w is nil. sample is the share of requests that are traced, 0 to 1.
-func NewTracer(w io.Writer, sample float64, instance ids.Instance, incarnation ids.Incarnation) (*Tracer, error) {
+func NewTracer(w io.Writer, sample float64, instance ids.Instance) (*Tracer, error) {
 	if w == nil || sample <= 0 {
 		return &Tracer{}, nil
 	}
@@ -44,10 +43,10 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "create trace exporter")
 	}
-	return newTracer(sdktrace.NewBatchSpanProcessor(exporter), sample, instance, incarnation), nil
+	return newTracer(sdktrace.NewBatchSpanProcessor(exporter), sample, instance), nil
 }
 
-func newTracer(p sdktrace.SpanProcessor, sample float64, instance ids.Instance, incarnation ids.Incarnation) *Tracer {
+func newTracer(p sdktrace.SpanProcessor, sample float64, instance ids.Instance) *Tracer {
 	provider := sdktrace.NewTracerProvider(
 		sdktrace.WithSpanProcessor(p),
 		sdktrace.WithSampler(sdktrace.AlwaysSample()), // Record has sampled already
@@ -57,25 +56,33 @@
 	if sample < 1 {
 		below = uint64(sample * float64(1<<63) * 2)
 	}
-	return &Tracer{provider: provider, tracer: provider.Tracer("arbutusdock"), incarnation: incarnation, below: below}
+	return &Tracer{provider: provider, tracer: provider.Tracer("arbutusdock"), below: below}
 }
 
-// Sampled reports whether the hops of a request are traced. The choice is the
-// same for all hops of one request.
+// sampleKey and parentKey derive independent values from a request number.
+const (
+	sampleKey = 1
+	parentKey = 2
+)
+
+// Sampled reports whether the hops of a request are traced. The choice depends
+// on the request alone, so that all instances with the same sampling share
+// make the same one.
 func (t *Tracer) Sampled(request uint64) bool {
-	return t.provider != nil && ids.Mix(request, uint64(t.incarnation)) <= t.below
+	return t.provider != nil && ids.Mix(request, sampleKey) <= t.below
 }
 
-// Record emits the span of one hop. All hops of a request share a trace id.
+// Record emits the span of one hop. All hops of a request share a trace id, at
+// other instances as well.
 func (t *Tracer) Record(h Hop) {
 	if !t.Sampled(h.Request) {
 		return
 	}
 	var id trace.TraceID
-	binary.BigEndian.PutUint64(id[:8], uint64(t.incarnation))
-	binary.BigEndian.PutUint64(id[8:], h.Request)
 	var parent trace.SpanID
-	binary.BigEndian.PutUint64(parent[:], ids.Mix(h.Request, 1)|1)
+	binary.BigEndian.PutUint64(parent[:], ids.Mix(h.Request, parentKey)|1)
+	copy(id[:8], parent[:])
+	binary.BigEndian.PutUint64(id[8:], h.Request)
 	ctx := trace.ContextWithSpanContext(context.Background(), trace.NewSpanContext(trace.SpanContextConfig{
 		TraceID: id, SpanID: parent, TraceFlags: trace.FlagsSampled,
 	}))
