--- a/cmd/arbutusdockd/main_test.go
+++ b/cmd/arbutusdockd/main_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -73,12 +74,15 @@
 	return file
 }
 
-// ready waits until the admin interface answers.
+// ready waits until the core goroutine answers. The listener alone is open
+// before the core runs.
 func ready(t *testing.T, admin string) {
 	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
-		if c, err := net.Dial("tcp", admin); err == nil {
-			_ = c.Close()
-			return
+		if r, err := http.Get("http://" + admin + "/v1/state"); err == nil {
+			_ = r.Body.Close()
+			if r.StatusCode == http.StatusOK {
+				return
+			}
 		}
 	}
 	t.Fatal("the daemon did not start")
