core: acknowledge a request without a response after 1.5 s

Cause: an empty ACK after 300 ms stops the caller's retransmission early. Change: ackAfter is 1.5 s, just below ACK_TIMEOUT. The test of separate responses shifts its times by the same 1.2 s; its checks are unchanged.

--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -104,12 +104,12 @@
 // lost ACK of a separate response: it may arrive at any instance.
 func TestSeparateResponseIsConfirmed(t *testing.T) {
 	w := newWorld(t, 3, resolved("s", 6))
-	w.run = 500 * time.Millisecond
+	w.run = 1700 * time.Millisecond
 	for n := range 8 {
 		caller := callerN(n)
 		w.reset()
 		w.send(n%3, caller, get(1))
-		w.advance(350 * time.Millisecond)
+		w.advance(1550 * time.Millisecond)
 		assert.Equal(t, w.replies[0].m.Type, message.Acknowledgement)
 		assert.Equal(t, w.replies[0].m.Code, message.Empty)
 		w.send(n%3, caller, get(1)) // retransmission
--- a/internal/core/respond.go
+++ b/internal/core/respond.go
@@ -12,9 +12,10 @@
 
 const (
 	// ackAfter is the time after which a request without a response gets an
-	// empty ACK. It is well below ACK_TIMEOUT (2 s), so that the caller does
-	// not retransmit.
-	ackAfter = 300 * time.Millisecond
+	// empty ACK. It is below ACK_TIMEOUT (2 s), so that the caller does not
+	// retransmit, and close to it: a request that was acknowledged by an
+	// instance that then dies is not retransmitted to another one.
+	ackAfter = 1500 * time.Millisecond
 
 	// Retransmission of confirmable messages to callers. The first timeout is
 	// half of the default ACK_TIMEOUT, as callers are milliseconds away.
--- a/internal/experiment/caller.go
+++ b/internal/experiment/caller.go
@@ -11,8 +11,8 @@
 	ackTimeout     = 2 * time.Second
 	ackRandom      = 1.5
 	maxRetransmit  = 4
-	ackAfter       = 300 * time.Millisecond // an instance acknowledges a request that takes longer
-	callerPatience = 4 * time.Second        // wait for the response after the acknowledgement, beyond the deadline
+	ackAfter       = 1500 * time.Millisecond // an instance acknowledges a request that takes longer
+	callerPatience = 4 * time.Second         // wait for the response after the acknowledgement, beyond the deadline
 )
 
 // issue starts a new request of m.
