core: release follow-up blocks whose target is busy or not owned

Change: Pool.Owns; a block of a target that is not owned goes to any target at once, one of a busy target after 4 run times of short requests, or the queue time when its content is long to produce.

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -15,6 +15,9 @@
 	maxResends  = 2
 	// maxAttempts bounds the backend servers that a request is sent to.
 	maxAttempts = 2
+	// pinRunTimes is the number of run times for which a follow-up block waits
+	// for the target that served the first.
+	pinRunTimes = 4
 )
 
 // cost returns the slot time that a request of class is predicted to take.
@@ -112,7 +115,7 @@
 // that target is busy r waits for it: it has had its turn in the fair queue.
 func (c *Core) acquire(r *request) (lease spread.Lease, ok, waits bool) {
 	s := r.svc
-	if r.pin != "" && (s.pool.Leaving(r.pin) || len(s.pinned) >= s.limiter.Length) {
+	if r.pin != "" && (!s.serves(r.pin) || len(s.pinned) >= s.limiter.Length) {
 		r.pin = ""
 	}
 	if r.pin != "" {
@@ -129,9 +132,22 @@
 	return lease, ok, false
 }
 
-// dispatchPinned sends the follow-up blocks whose target has become free. One
-// that has waited for the queue time may go to any target: its target may no
-// longer be owned here.
+// serves reports whether follow-up blocks can still be sent to target from here.
+func (s *service) serves(target ids.Target) bool {
+	return s.pool.Owns(target) && !s.pool.Leaving(target)
+}
+
+// pinWait is the longest time for which a follow-up block waits for its target.
+// Another target must produce the content again, which takes about a run time.
+func (s *service) pinWait(r *request) time.Duration {
+	if s.pool.Classify(r.key) == spread.Long {
+		return s.limiter.QueueTime
+	}
+	return min(s.limiter.QueueTime, pinRunTimes*s.pool.RunTime())
+}
+
+// dispatchPinned sends the follow-up blocks whose target has become free, and
+// releases those that have waited too long to any target.
 func (c *Core) dispatchPinned(s *service) {
 	kept := s.pinned[:0]
 	for _, r := range s.pinned {
@@ -142,7 +158,7 @@
 		switch lease, ok := s.pool.AcquireTarget(c.now, r.pin); {
 		case ok:
 			c.sendUpstream(r, lease)
-		case s.pool.Leaving(r.pin) || c.now.Sub(r.arrived) > s.limiter.QueueTime:
+		case !s.serves(r.pin) || c.now.Sub(r.arrived) > s.pinWait(r):
 			r.pin = ""
 			c.startOrQueue(r)
 		default:
