--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -268,7 +268,7 @@
 
 // withBlock2 appends a Block2 option to a message whose last option is
 // Uri-Path, or that has none.
-func withBlock2(t *testing.T, raw []byte, v byte) message.Message {
+func withBlock2(t assert.TestingT, raw []byte, v byte) message.Message {
 	delta := byte(23 - 11)
 	if len(raw) == 4 {
 		raw, delta = append(raw, 0xd1, 23-13), 0
