spread: give every instance at least its part of the slots

With 4 targets and 5 instances one instance could own no slot, although 8 slots suffice for all: 2, 2, 2, 2 and 0. Instances below the equal part rounded down now rank first once the remaining slots are all needed for them. The test checks both bounds.

--- a/internal/spread/assign.go
+++ b/internal/spread/assign.go
@@ -75,11 +75,12 @@
 	}
 	a.limit = a.limitFor(len(instances))
 	a.forced = false
-	slack := a.slack(len(instances))
+	slack, least := a.slack(len(instances)), a.total/max(len(instances), 1)
 	after := 0 // slots that one instance could get of the targets not yet placed
 	for i := range a.targets {
 		after += slotsOf(a.targets[i].slots, 0)
 	}
+	left, missing := a.total, least*len(instances) // slots not yet placed, and needed to give least to all
 	a.count = make(map[ids.Instance]int)
 	used := make([]int, len(instances))
 	for i := range a.targets {
@@ -89,11 +90,16 @@
 			continue
 		}
 		after -= slotsOf(t.slots, 0)
-		first, second := a.pick(t, instances, used, a.limit-slack-after)
+		due, wanting := max(a.limit-slack, least)-after, 0
+		if missing >= left {
+			wanting = least
+		}
+		first, second := a.pick(t, instances, used, due, wanting)
 		if first < 0 {
 			first = a.spill(instances, used, -1)
 		}
-		a.give(t, 0, first, instances, used)
+		left -= t.slots
+		missing -= a.give(t, 0, first, instances, used, least)
 		if slotsOf(t.slots, 1) == 0 {
 			continue
 		}
@@ -102,33 +108,44 @@
 		} else if second < 0 || second == first {
 			second = a.spill(instances, used, first)
 		}
-		a.give(t, 1, second, instances, used)
+		missing -= a.give(t, 1, second, instances, used, least)
 	}
 }
 
-func (a *assignment) give(t *placement, n, i int, instances []instance, used []int) {
+// give makes instance i the n-th owner of t. It returns how many slots of these
+// the instance needed to reach least.
+func (a *assignment) give(t *placement, n, i int, instances []instance, used []int, least int) int {
 	t.owner[n] = instances[i].id
-	t.weight[n] = ids.Mix(instances[i].hash, t.key) >> 1
+	t.weight[n] = rank(instances[i].hash, t.key)
+	needed := min(max(least-used[i], 0), slotsOf(t.slots, n))
 	used[i] += slotsOf(t.slots, n)
 	a.count[t.owner[n]] = used[i]
+	return needed
 }
 
 // slack returns how many slots more than there are n instances could own.
 func (a *assignment) slack(n int) int { return a.limitFor(n)*n - a.total }
 
+// rank returns the rendezvous weight of an instance for a target. Its two
+// highest bits are 0.
+func rank(instance, target uint64) uint64 { return ids.Mix(instance, target) >> 2 }
+
 // pick returns the two highest ranked instances that are below the limit, -1
 // for one that does not exist. Both are given room for the part of the first
-// owner, which is the larger one. Instances with fewer than due slots are
-// ranked before all others.
-func (a *assignment) pick(t *placement, instances []instance, used []int, due int) (first, second int) {
+// owner, which is the larger one. Instances with fewer than due slots rank
+// before those with fewer than wanting, and these before all others.
+func (a *assignment) pick(t *placement, instances []instance, used []int, due, wanting int) (first, second int) {
 	first, second = -1, -1
 	var firstWeight, secondWeight uint64
 	room := a.limit - slotsOf(t.slots, 0)
 	for i := range instances {
-		w := ids.Mix(instances[i].hash, t.key) >> 1
+		w := rank(instances[i].hash, t.key)
 		if used[i] < due {
 			w |= 1 << 63
 			a.forced = true
+		} else if used[i] < wanting {
+			w |= 1 << 62
+			a.forced = true
 		}
 		if w <= secondWeight && second >= 0 || used[i] > room {
 			continue
@@ -156,11 +173,12 @@
 }
 
 // affected reports whether a change of the instances can change the result.
-// With a slack of at least the limit no instance is ever due.
+// With a slack of at least the limit and fewer slots than instances no instance
+// is ever due.
 // An instance that owns no slot was never considered, and one that ranks below
 // both owners of every target would not be.
 func (a *assignment) affected(n int, joined, left []instance) bool {
-	if a.forced || a.limitFor(n) != a.limit || a.slack(n) < a.limit {
+	if a.forced || a.limitFor(n) != a.limit || a.slack(n) < a.limit || a.total >= n {
 		return true
 	}
 	for _, l := range left {
@@ -171,7 +189,7 @@
 	for _, j := range joined {
 		for i := range a.targets {
 			t := &a.targets[i]
-			w := ids.Mix(j.hash, t.key) >> 1
+			w := rank(j.hash, t.key)
 			if w > t.weight[0] || slotsOf(t.slots, 1) > 0 && w > t.weight[1] || t.owner[0] == t.owner[1] {
 				return true
 			}
--- a/internal/spread/assign_test.go
+++ b/internal/spread/assign_test.go
@@ -35,7 +35,11 @@
 		assert.Assert(t, p.owner[0] != p.owner[1] && p.owner[0] != "" && p.owner[1] != "", "%d instances", instances)
 		total += p.slots
 	}
+	if total >= instances {
+		assert.Equal(t, len(s.count), instances, "an instance owns no slot")
+	}
 	for id, n := range s.count {
+		assert.Assert(t, n >= total/instances, "%s owns %d of %d slots, %d instances", id, n, total, instances)
 		assert.Assert(t, n <= (total+instances-1)/instances, "%s owns %d of %d slots, %d instances", id, n, total, instances)
 	}
 }
