--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -79,7 +80,7 @@
 	return l.b.String()
 }
 
-func newSite(t testing.TB) *site {
+func newSite(t testing.TB, slots int) *site {
 	s := &site{t: t, dir: t.TempDir(), service: netip.AddrPortFrom(loopback, freePort(t))}
 	var err error
 	s.ca, err = keys.CreateCA(s.dir, "fleet", time.Hour)
@@ -90,8 +91,8 @@
 		_, _ = io.WriteString(w, `{"status":"ok","load":0}`)
 	}))
 	t.Cleanup(health.Close)
-	service := fmt.Sprintf("port = %d\nprofile = \"p\"\n[[target]]\nname = \"t1\"\ndata_centre = \"a\"\naddress = %q\nhealth = %q\nslots = 2\n",
-		s.service.Port(), backend, health.URL)
+	service := fmt.Sprintf("port = %d\nprofile = \"p\"\n[[target]]\nname = \"t1\"\ndata_centre = \"a\"\naddress = %q\nhealth = %q\nslots = %d\n",
+		s.service.Port(), backend, health.URL, slots)
 	s.platform = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.servePlatform(w, r, service) }))
 	t.Cleanup(s.platform.Close)
 	return s
@@ -157,7 +158,6 @@
 platform.url = %q
 tls = { ca = "ca.crt", certificate = "%s.crt", key = "%s.key" }
 admission = { signing_key = 1, key = [{ id = 1, file = "admission-1.key" }] }
-link.control_bytes_per_second = 65536
 `, id, ip, ip, s.platform.URL, id, id)
 	config, err := settings.Parse([]byte(text))
 	assert.NilError(s.t, err)
@@ -242,7 +242,7 @@
 // without a token that is executed, a claim that is executed twice, and a
 // graceful shutdown that does not end.
 func TestServesEndToEnd(t *testing.T) {
-	s := newSite(t)
+	s := newSite(t, 2)
 	r := s.start(1)
 	at := netip.AddrPortFrom(r.ip, s.service.Port())
 	c := newCaller(t)
@@ -270,7 +270,7 @@
 // is honoured when the retry arrives at another, which relays it, and requests
 // survive the planned stop of the instance that issued it.
 func TestTwoInstances(t *testing.T) {
-	s := newSite(t)
+	s := newSite(t, 2)
 	one := s.start(1)
 	two := s.start(2, one.seed())
 	at1, at2 := netip.AddrPortFrom(one.ip, s.service.Port()), netip.AddrPortFrom(two.ip, s.service.Port())
@@ -298,7 +298,7 @@
 
 // Guards against an admin interface that is incomplete or crashes on input.
 func TestAdmin(t *testing.T) {
-	s := newSite(t)
+	s := newSite(t, 2)
 	r := s.start(1)
 	newCaller(t).get(netip.AddrPortFrom(r.ip, s.service.Port()))
 	fetch := func(path string) (int, string) {
@@ -324,3 +324,38 @@
 		assert.Equal(t, status, http.StatusBadRequest)
 	}
 }
+
+// Guards against input from outside that ends the process: random and
+// malformed bytes at every address while it serves.
+func TestMalformedInput(t *testing.T) {
+	s := newSite(t, 2)
+	r := s.start(1)
+	at := netip.AddrPortFrom(r.ip, s.service.Port())
+	c := newCaller(t)
+	c.get(at)
+	random := rand.New(rand.NewPCG(1, 2))
+	backend := netip.AddrPortFrom(r.ip, r.d.backend.conn.LocalAddr().(*net.UDPAddr).AddrPort().Port())
+	for range 2000 {
+		data := make([]byte, random.IntN(80))
+		for i := range data {
+			data[i] = byte(random.Uint32())
+		}
+		if len(data) > 0 && random.IntN(4) > 0 {
+			data[0] = 0x40 | data[0]&0x38 // version 1, so that more gets past the header
+		}
+		for _, to := range []netip.AddrPort{at, backend} {
+			_, err := c.conn.WriteToUDPAddrPort(data, to)
+			assert.NilError(t, err)
+		}
+	}
+	for _, address := range []string{r.d.self.PeerAddr, r.d.admin.Addr().String()} {
+		conn, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		_, _ = conn.Write(bytes.Repeat([]byte{0x16, 3, 1, 0xff}, 4096))
+		_ = conn.Close()
+	}
+	c.get(at)
+	assert.Equal(t, r.d.loop.panics.Value(), int64(0))
+	assert.Assert(t, r.d.metrics.Counter("caller_malformed_dropped_total").Value() > 100)
+	assert.Assert(t, r.d.metrics.Counter("backend_malformed_dropped_total").Value() > 100)
+}
