core: do not learn run times from follow-up blocks

Cause: the run time of a follow-up block, a fraction of that of the first, went into the median, the mean and the history of its path. The mean run time of short requests fell to that of a block (1.0 ms instead of 20 ms in the new test), so first blocks could be taken for long and admission used a wrong wait. Change: follow-up blocks release their slot with spread.Unlearned.

--- a/internal/core/caller.go
+++ b/internal/core/caller.go
@@ -175,7 +175,7 @@
 	if s.pool == nil {
 		return spread.Short, false
 	}
-	class := s.pool.Classify(ids.Mix(s.hash, ids.Mix(a.m.Path, uint64(a.m.Code))))
+	class := s.pool.Classify(s.runKey(a.m))
 	return class, c.accepting() && s.queues[class].Len() == 0 && s.pool.Free(class) > 0
 }
 
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -140,7 +140,7 @@
 // pinWait is the longest time for which a follow-up block waits for its target.
 // Another target must produce the content again, which takes about a run time.
 func (s *service) pinWait(r *request) time.Duration {
-	if s.pool.Classify(r.key) == spread.Long {
+	if s.pool.Classify(r.content) == spread.Long {
 		return s.limiter.QueueTime
 	}
 	return min(s.limiter.QueueTime, pinRunTimes*s.pool.RunTime())
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -55,6 +55,7 @@
 	code       message.Code
 	path       uint64
 	key        uint64 // of the run-time predictor
+	content    uint64 // key of the request for the first block
 	block1     message.Block
 	state      requestState
 	class      spread.Class
@@ -94,6 +95,21 @@
 	return requestKey{ids.FlowKey{Caller: r.caller, Service: r.svc.name}, r.token}
 }
 
+// contentKey identifies requests of about the same run time to the predictor.
+func (s *service) contentKey(m *message.Message) uint64 {
+	return ids.Mix(s.hash, ids.Mix(m.Path, uint64(m.Code)))
+}
+
+// runKey is the content key of a first block. A follow-up block takes a
+// fraction of the time of the first: learning from it would make every first
+// block look long.
+func (s *service) runKey(m *message.Message) uint64 {
+	if m.Block1.Num > 0 || m.Block2.Num > 0 {
+		return spread.Unlearned
+	}
+	return s.contentKey(m)
+}
+
 // newRequest takes on the request a, copying its datagram.
 func (c *Core) newRequest(a *arrival) *request {
 	var r *request
@@ -106,7 +122,7 @@
 	*r = request{
 		exchange: a.exchange, hash: a.hash, raw: append(r.raw[:0], a.m.Raw...),
 		code: a.m.Code, path: a.m.Path, block1: a.m.Block1, hops: a.hops,
-		key:        ids.Mix(s.hash, ids.Mix(a.m.Path, uint64(a.m.Code))),
+		key: s.runKey(a.m), content: s.contentKey(a.m),
 		idempotent: s.idempotent&(1<<a.m.Code) != 0,
 		partner:    s.partnerOf(a.m.Host, a.caller),
 		arrived:    c.now, deadline: c.now.Add(s.config.Profile.Protect.Deadline),
--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -266,6 +266,30 @@
 	}
 }
 
+// Guards against the short run times of follow-up blocks making every first
+// block of a transfer look long.
+func TestFollowUpBlocksDoNotChangeTheClass(t *testing.T) {
+	w := newWorld(t, 1, resolved("s", 2))
+	for n := range 20 {
+		for num := range byte(10) {
+			w.run = time.Millisecond
+			d := get(uint16(n*10 + int(num)))
+			m := d.encode(t)
+			if num > 0 {
+				m = withBlock2(t, m.Raw, num<<4|2)
+			} else {
+				w.run = 20 * time.Millisecond
+			}
+			w.sendMessage(0, callerA, &m)
+			w.advance(40 * time.Millisecond)
+		}
+	}
+	s, d := w.cores[0].services["s"], get(1)
+	m := d.encode(t)
+	assert.Equal(t, s.pool.Classify(s.contentKey(&m)), spread.Short)
+	assert.Assert(t, s.pool.RunTime() > 15*time.Millisecond, s.pool.RunTime())
+}
+
 // withBlock2 appends a Block2 option to a message whose last option is
 // Uri-Path, or that has none.
 func withBlock2(t assert.TestingT, raw []byte, v byte) message.Message {
--- a/internal/spread/predict.go
+++ b/internal/spread/predict.go
@@ -14,6 +14,10 @@
 	initialRunTime = 20 * time.Millisecond
 )
 
+// Unlearned is the key of requests whose run time says nothing about others.
+// They are short.
+const Unlearned uint64 = 0
+
 const (
 	predictorSets   = 128 // times predictorWays keys with a history
 	predictorWays   = 4
@@ -73,6 +77,9 @@
 
 // expected returns the mean run time of requests with key, 0 when unknown.
 func (p *predictor) expected(key uint64) time.Duration {
+	if key == Unlearned {
+		return 0
+	}
 	set := &p.sets[key%predictorSets]
 	for i := range set {
 		if set[i].key == key {
@@ -86,7 +93,7 @@
 // about a dead target as about the request: only a row of them without a
 // success makes the request long.
 func (p *predictor) learn(key uint64, run time.Duration, c Class, o Outcome) {
-	if run <= 0 || o != Success && o != Timeout {
+	if key == Unlearned || run <= 0 || o != Success && o != Timeout {
 		return
 	}
 	h := p.find(key)
