daemon: one metric for each counter of the core; link: test simultaneous dials

Cause: the counters of the core were one object without units in its names. A test lets both sides dial at once.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -313,7 +313,7 @@
 		"/v1/state": `"Lifecycle":"serving"`,
 		"/v1/explain?service=counter&caller=127.0.0.1:9&method=post":   `"Idempotent":false`,
 		"/v1/explain?service=nothing&caller=127.0.0.1:9&method=%00%ff": `"Known":false`,
-		"/debug/vars": `"caller_received_datagrams_total"`,
+		"/debug/vars": `"core_late_responses_total": 0`,
 	} {
 		status, body := fetch(path)
 		assert.Equal(t, status, http.StatusOK, "%s: %s", path, body)
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"expvar"
+	"reflect"
+	"regexp"
 	"runtime/debug"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -66,15 +69,29 @@
 	l.spansDropped = d.metrics.Counter("trace_spans_dropped_total")
 	l.published.Store(&published{})
 	for name, f := range map[string]func(*published) any{
-		"core":                           func(p *published) any { return p.counts },
 		"core_decision_p50_nanoseconds":  func(p *published) any { return p.p50 },
 		"core_decision_p99_nanoseconds":  func(p *published) any { return p.p99 },
 		"core_decision_most_nanoseconds": func(p *published) any { return p.most },
 	} {
 		d.metrics.Gauge(name, func() any { return f(l.published.Load()) })
 	}
+	l.exportCounters(d)
 }
 
+// exportCounters registers each counter of the core as a metric, for example
+// LateResponses as core_late_responses_total.
+func (l *loop) exportCounters(d *Daemon) {
+	for _, field := range reflect.VisibleFields(reflect.TypeFor[core.Counters]()) {
+		name := strings.ToLower(words.ReplaceAllString(field.Name, "${1}_${2}"))
+		d.metrics.Gauge("core_"+name+"_total", func() any {
+			return reflect.ValueOf(l.published.Load().counts).FieldByIndex(field.Index).Uint()
+		})
+	}
+}
+
+// words matches the border between two words of a field name.
+var words = regexp.MustCompile(`([a-z])([A-Z])`)
+
 func (l *loop) run(ctx context.Context) {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -112,6 +112,27 @@
 	assert.Equal(t, a.counts.dials.Value()+b.counts.dials.Value(), int64(2))
 }
 
+// Guards against messages that are lost, or two connections that remain, when
+// both sides dial at the same time.
+func TestSimultaneousDials(t *testing.T) {
+	f := newFleet(t)
+	a, gotA := f.start("a", nil)
+	b, gotB := f.start("b", nil)
+	var wg sync.WaitGroup
+	wg.Go(func() { a.Send("b", relay("a", 1)) })
+	wg.Go(func() { b.Send("a", relay("b", 1)) })
+	wg.Wait()
+	receive(t, gotA)
+	receive(t, gotB)
+	time.Sleep(simultaneous + 500*time.Millisecond) // the spare connection closes
+	a.Send("b", relay("a", 2))
+	b.Send("a", relay("b", 2))
+	receive(t, gotA)
+	receive(t, gotB)
+	assert.Equal(t, a.Open()+b.Open(), 2)
+	assert.Assert(t, a.counts.dials.Value() <= 1 && b.counts.dials.Value() <= 1)
+}
+
 // Guards against a listener or peer whose certificate names another instance,
 // and one from another fleet.
 func TestWrongCertificate(t *testing.T) {
