core: do not relay follow-up blocks to an instance that owns no slot any more

The home of the caller kept the route of the transfer to the lost instance for 250 s and relayed each retransmission of the next block to it. Change: a block route to an instance that is no owner of the service any more counts as unknown, so the block is placed like a first one.

--- a/internal/core/caller.go
+++ b/internal/core/caller.go
@@ -200,6 +200,9 @@
 	s := a.svc
 	k := flow.BlockKey{FlowKey: ids.FlowKey{Caller: a.caller, Service: s.name}, Path: a.m.Path}
 	route, known := c.blocks.Get(c.now, k)
+	if known && route.Instance != "" && route.Instance != c.self.ID && s.peer(route.Instance) == nil {
+		known = false // that instance is lost or owns no slot any more
+	}
 	if !known {
 		if home, ok := c.home(s, a.hash); ok && home != c.self.ID && a.hops == 0 {
 			c.relay(a, home)
