core: the last instance deregisters its feeds when it stops

Cause: a stop without another instance left registrations at the backend servers, which notified an endpoint that had gone. Change: feeds that are left after the linger period are deregistered. Measured: TestStopOfLastInstanceDeregisters fails before (0 deregistrations) and passes after.

--- a/internal/core/feed_test.go
+++ b/internal/core/feed_test.go
@@ -202,6 +202,17 @@
 	assert.Equal(t, w.finals(callerA)[len(w.finals(callerA))-1].m.Observe, last)
 }
 
+// Guards against registrations that stay at a backend server after the only
+// instance has stopped.
+func TestStopOfLastInstanceDeregisters(t *testing.T) {
+	w := newWorld(t, 1, resolved("s", 2))
+	w.register(0)
+	w.call(0, func(c *Core, out *Effects) { c.Stop(w.now, out) })
+	w.advance(10 * time.Second)
+	assert.Assert(t, w.exits[0])
+	assert.Equal(t, len(w.deregistrations()), 1)
+}
+
 // Guards against a feed that stays silent because its connection has died.
 func TestSilentFeedIsRegisteredAgain(t *testing.T) {
 	w := newWorld(t, 2, resolved("s", 4))
--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -96,6 +96,8 @@
 		}
 	case lingering:
 		if elapsed >= c.self.Linger {
+			// Feeds are left only if no other instance could take them.
+			c.feeds.Sweep(c.feeds.Len(), c.endFeed)
 			c.view.Fire(member.Leave)
 			c.enter(leaving)
 		}
