spread: add the service rate, long requests included; core: use it for returns

The return of refused callers was booked at a quarter of the rate of short requests. With 2% of requests 50 times longer that is half of the real service rate, so the load after the peak stayed at the capacity.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -128,8 +128,8 @@
 // retryAfter books the return of a rejected caller.
 func (c *Core) retryAfter(s *service) uint32 {
 	rate := returnRate
-	if owned := s.owned(); owned > 0 {
-		rate = float64(owned) / max(s.pool.RunTime(), time.Millisecond).Seconds()
+	if s.owned() > 0 {
+		rate = s.pool.Rate()
 	}
 	return s.returns.Seconds(c.now, rate, c.rng)
 }
--- a/internal/experiment/design.go
+++ b/internal/experiment/design.go
@@ -191,7 +191,7 @@
 func (n *design) refuse(r *request) {
 	rate := 0.0
 	if p := n.pool(); p != nil {
-		rate = float64(p.Owned()) / p.RunTime().Seconds()
+		rate = p.Rate()
 	}
 	n.c.respond(r, refused, time.Duration(n.returns.Seconds(n.c.now, rate, n.rng))*time.Second)
 }
--- a/internal/spread/pool.go
+++ b/internal/spread/pool.go
@@ -302,6 +302,12 @@
 // RunTime returns the mean run time of short requests.
 func (p *Pool) RunTime() time.Duration { return p.predictor.short() }
 
+// Rate returns the number of requests a second, short and long, that the usable
+// slots serve.
+func (p *Pool) Rate() float64 {
+	return float64(p.Owned()) / max(p.predictor.slotMean, time.Microsecond).Seconds()
+}
+
 // Classify predicts the class of requests with this key, a hash of service,
 // code and Uri-Path.
 func (p *Pool) Classify(key uint64) Class { return p.predictor.classify(key) }
--- a/internal/spread/pool_test.go
+++ b/internal/spread/pool_test.go
@@ -298,3 +298,19 @@
 	}
 	assert.Equal(t, testing.AllocsPerRun(1000, cycle), 0.0)
 }
+
+// Guards against a service rate that leaves out long requests, which hold much
+// of the slot time: refused callers would return at twice the rate that can be
+// served.
+func TestRateCountsLongRequests(t *testing.T) {
+	f := newFixture(5)
+	for i := range 2000 {
+		key, run := uint64(1), 10*time.Millisecond
+		if i%50 == 0 {
+			key, run = 2, 500*time.Millisecond
+		}
+		f.request(key, run, Success)
+	}
+	want := 10 / 0.0198 // slots over mean run time
+	assert.Assert(t, f.pool.Rate() > want/2 && f.pool.Rate() < want*2, "%v, want about %v", f.pool.Rate(), want)
+}
--- a/internal/spread/predict.go
+++ b/internal/spread/predict.go
@@ -18,6 +18,8 @@
 	predictorSets   = 128 // times predictorWays keys with a history
 	predictorWays   = 4
 	timeoutsToLearn = 3
+	// slotWindow is long, since a few long requests hold much of the slot time.
+	slotWindow = 256
 	// medianLearned is the number of run times before the median is trusted.
 	medianLearned = 8
 	// medianWindow halves the weight of older run times, so that the median
@@ -46,11 +48,12 @@
 	mid        time.Duration // cached median
 	stale      uint32        // run times since mid was computed
 	shortMean  time.Duration
+	slotMean   time.Duration // of all requests
 	longFactor float64
 }
 
 func newPredictor() predictor {
-	return predictor{shortMean: initialRunTime, longFactor: defaultLongFactor}
+	return predictor{shortMean: initialRunTime, slotMean: initialRunTime, longFactor: defaultLongFactor}
 }
 
 func (p *predictor) short() time.Duration { return p.shortMean }
@@ -103,6 +106,7 @@
 		h.mean += (run - h.mean) / 4
 	}
 	p.count(run)
+	p.slotMean += (run - p.slotMean) / slotWindow
 	if c == Short {
 		p.shortMean += (run - p.shortMean) / 16
 	}
