--- a/internal/spread/pool_test.go
+++ b/internal/spread/pool_test.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -11,6 +12,9 @@
 	"pgregory.net/rapid"
 )
 
+// A fixed seed keeps the normal run repeatable; -rapid.seed overrides it.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 // Guards against uneven use: each owned target gets the same number of
 // requests, whatever the order in which they end.
 func TestAcquireUsesTargetsEvenly(t *testing.T) {
@@ -313,3 +317,19 @@
 	}
 	assert.Equal(t, testing.AllocsPerRun(1000, cycle), 0.0)
 }
+
+// Guards against a service rate that leaves out long requests, which hold much
+// of the slot time: refused callers would return at twice the rate that can be
+// served.
+func TestRateCountsLongRequests(t *testing.T) {
+	f := newFixture(5)
+	for i := range 2000 {
+		key, run := uint64(1), 10*time.Millisecond
+		if i%50 == 0 {
+			key, run = 2, 500*time.Millisecond
+		}
+		f.request(key, run, Success)
+	}
+	want := 10 / 0.0198 // slots over mean run time
+	assert.Assert(t, f.pool.Rate() > want/2 && f.pool.Rate() < want*2, "%v, want about %v", f.pool.Rate(), want)
+}
