--- a/internal/experiment/crest.go
+++ b/internal/experiment/crest.go
@@ -55,9 +55,11 @@
 		{name, "refusals with a time to come back (%)", 100 - percent(s.noTime, s.refusals), &Goal{false, 100}},
 		{name, "callers that return and are served (%)", percent(whole.returnOK, whole.returned), nil},
 		{name, "requests without an answer (%)", percent(s.failures, s.requests), nil},
-		{name, "long requests served (%)", percent(int(s.long.TotalCount()), s.longSent), nil},
 		{name, "time to normal service (s)", normal.Seconds(), &Goal{true, 2}},
 	}
+	if s.longSent > 0 {
+		list = append(list, measure{name, "long requests served (%)", percent(int(s.long.TotalCount()), s.longSent), nil})
+	}
 	if !goals {
 		for i := range list {
 			list[i].goal = nil
--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,112 @@
+package experiment
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/spread"
+	"github.com/alitto/pond/v2"
+	"gotest.tools/v3/assert"
+)
+
+// shortSteady runs one second at 70% load.
+func shortSteady(p policy, seed uint64) *cluster {
+	c := newCluster(seed, resolved(), p.make())
+	m := &mix{shortMean: shortRun, claims: 0.2}
+	m.load, m.peak = constant(steadyLoad)
+	m.generate(c.sim, slotCount, time.Second, func() { c.issue(m) })
+	c.run(4 * time.Second)
+	return c
+}
+
+// Guards against a run that depends on anything but its seed: figures could
+// then not be reproduced.
+func TestRunsAreDeterministic(t *testing.T) {
+	for _, p := range policies() {
+		a, b := shortSteady(p, 7), shortSteady(p, 7)
+		assert.Equal(t, a.imbalance(), b.imbalance(), p.name)
+		assert.Equal(t, a.stats.short.ValueAtQuantile(99), b.stats.short.ValueAtQuantile(99), p.name)
+		assert.Equal(t, a.stats.relays, b.stats.relays, p.name)
+		other := shortSteady(p, 8)
+		assert.Assert(t, a.imbalance() != other.imbalance(), p.name)
+	}
+}
+
+// Guards against requests that the model loses: at a load below the capacity
+// every policy serves each of them.
+func TestEveryRequestIsServed(t *testing.T) {
+	for _, p := range policies() {
+		s := shortSteady(p, 1).stats
+		assert.Equal(t, s.sum(0, 4*time.Second).served, s.requests, p.name)
+		assert.Assert(t, s.requests > 1500, p.name)
+	}
+}
+
+// Guards against a backend server of the model that runs more requests than it
+// has slots, queues without bound, or responds after it has died.
+func TestBackendLimits(t *testing.T) {
+	s := newSim(1)
+	b := newBackend(s, 1, 0)
+	outcomes := map[spread.Outcome]int{}
+	send := func() {
+		b.accept(&job{run: shortRun, expires: s.now.Add(time.Minute), done: func(o spread.Outcome) { outcomes[o]++ }})
+	}
+	for range slotsPerTarget + backendQueue + 3 {
+		send()
+	}
+	assert.Equal(t, b.running, slotsPerTarget)
+	assert.Equal(t, outcomes[spread.Shed], 3)
+	s.run(time.Second)
+	assert.Equal(t, outcomes[spread.Success], slotsPerTarget+backendQueue)
+	b.account()
+	assert.Equal(t, b.busy, time.Duration(slotsPerTarget+backendQueue)*shortRun)
+	send()
+	b.dead = true
+	s.run(2 * time.Second)
+	assert.Equal(t, outcomes[spread.Success], slotsPerTarget+backendQueue)
+}
+
+// Guards against a verdict that hides a seed that misses the goal.
+func TestVerdict(t *testing.T) {
+	row := Row{Values: []float64{1, 1.05, 1.2}, Goal: &Goal{AtMost: true, Limit: 1.1}}
+	assert.Equal(t, row.Verdict(), "met by the median")
+	row.Values = []float64{1, 1.05, 1.1}
+	assert.Equal(t, row.Verdict(), "met")
+	row.Goal = &Goal{Limit: 1.06}
+	assert.Equal(t, row.Verdict(), "MISSED")
+}
+
+// Guards against a time to normal that ends before a later relapse.
+func TestRecoverySeesRelapse(t *testing.T) {
+	c := &cluster{sim: newSim(1)}
+	s := newStats(c)
+	for i := range 100 {
+		w := s.at(epoch.Add(time.Duration(i) * windowLength))
+		w.latency = []time.Duration{10 * time.Millisecond}
+		if i >= 20 && i < 30 || i == 60 {
+			w.unserved = 1
+		}
+	}
+	limit := 20 * time.Millisecond
+	assert.Equal(t, s.recovery(2*time.Second, 3*time.Second, limit), 1400*time.Millisecond)
+	assert.Assert(t, s.recovery(2*time.Second, 6*time.Second, limit) > 4*time.Second)
+}
+
+// Guards against reports without a policy or a seed.
+func TestReportHoldsAllRows(t *testing.T) {
+	e := &Experiment{Name: "x", Title: "X", run: func(p policy, seed uint64) outcome {
+		return outcome{measures: []measure{{"", "value", float64(seed), &Goal{true, 2}}}}
+	}}
+	r, err := e.Run(pond.NewPool(2), []uint64{1, 2, 3})
+	assert.NilError(t, err)
+	var text, table bytes.Buffer
+	assert.NilError(t, r.WriteText(&text))
+	assert.NilError(t, r.WriteCSV(&table))
+	for _, p := range policies() {
+		assert.Assert(t, strings.Contains(text.String(), p.name) && strings.Contains(table.String(), p.name), p.name)
+	}
+	assert.Equal(t, strings.Count(table.String(), "\n"), len(policies())+1)
+	assert.Equal(t, strings.Count(text.String(), "met by the median"), 2)
+}
