core: drop a check that Pool.Leaving now makes

Cause: two changes of the same hour both kept follow-up blocks off targets that are not owned. Change: Pool.Owns and service.serves are removed; Pool.Leaving covers the case. Result: go test ./internal/core ./internal/spread passes.

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -115,7 +115,7 @@
 // that target is busy r waits for it: it has had its turn in the fair queue.
 func (c *Core) acquire(r *request) (lease spread.Lease, ok, waits bool) {
 	s := r.svc
-	if r.pin != "" && (!s.serves(r.pin) || len(s.pinned) >= s.limiter.Length) {
+	if r.pin != "" && (s.pool.Leaving(r.pin) || len(s.pinned) >= s.limiter.Length) {
 		r.pin = ""
 	}
 	if r.pin != "" {
@@ -132,11 +132,6 @@
 	return lease, ok, false
 }
 
-// serves reports whether follow-up blocks can still be sent to target from here.
-func (s *service) serves(target ids.Target) bool {
-	return s.pool.Owns(target) && !s.pool.Leaving(target)
-}
-
 // pinWait is the longest time for which a follow-up block waits for its target.
 // Another target must produce the content again, which takes about a run time.
 func (s *service) pinWait(r *request) time.Duration {
@@ -158,7 +153,7 @@
 		switch lease, ok := s.pool.AcquireTarget(c.now, r.pin); {
 		case ok:
 			c.sendUpstream(r, lease)
-		case !s.serves(r.pin) || c.now.Sub(r.arrived) > s.pinWait(r):
+		case s.pool.Leaving(r.pin) || c.now.Sub(r.arrived) > s.pinWait(r):
 			r.pin = ""
 			c.startOrQueue(r)
 		default:
--- a/internal/spread/pool.go
+++ b/internal/spread/pool.go
@@ -325,12 +325,6 @@
 	return !ok || p.targets[i].owned == 0 || p.targets[i].leaving()
 }
 
-// Owns reports whether this instance owns a slot of target.
-func (p *Pool) Owns(name ids.Target) bool {
-	i, ok := p.byName[name]
-	return ok && p.targets[i].owned > 0
-}
-
 // Targets appends the state of all owned targets to dst, in order of name.
 func (p *Pool) Targets(dst []TargetState) []TargetState {
 	start := len(dst)
