--- a/internal/core/caller.go
+++ b/internal/core/caller.go
@@ -175,7 +175,7 @@
 	if s.pool == nil {
 		return spread.Short, false
 	}
-	class := s.pool.Classify(ids.Mix(s.hash, ids.Mix(a.m.Path, uint64(a.m.Code))))
+	class := s.pool.Classify(s.runKey(a.m))
 	return class, c.accepting() && s.queues[class].Len() == 0 && s.pool.Free(class) > 0
 }
 
@@ -200,6 +200,9 @@
 	s := a.svc
 	k := flow.BlockKey{FlowKey: ids.FlowKey{Caller: a.caller, Service: s.name}, Path: a.m.Path}
 	route, known := c.blocks.Get(c.now, k)
+	if known && route.Instance != "" && route.Instance != c.self.ID && s.peer(route.Instance) == nil {
+		known = false // that instance is lost or owns no slot any more
+	}
 	if !known {
 		if home, ok := c.home(s, a.hash); ok && home != c.self.ID && a.hops == 0 {
 			c.relay(a, home)
--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -104,12 +104,12 @@
 // lost ACK of a separate response: it may arrive at any instance.
 func TestSeparateResponseIsConfirmed(t *testing.T) {
 	w := newWorld(t, 3, resolved("s", 6))
-	w.run = 500 * time.Millisecond
+	w.run = 1700 * time.Millisecond
 	for n := range 8 {
 		caller := callerN(n)
 		w.reset()
 		w.send(n%3, caller, get(1))
-		w.advance(350 * time.Millisecond)
+		w.advance(1550 * time.Millisecond)
 		assert.Equal(t, w.replies[0].m.Type, message.Acknowledgement)
 		assert.Equal(t, w.replies[0].m.Code, message.Empty)
 		w.send(n%3, caller, get(1)) // retransmission
@@ -266,6 +266,30 @@
 	}
 }
 
+// Guards against the short run times of follow-up blocks making every first
+// block of a transfer look long.
+func TestFollowUpBlocksDoNotChangeTheClass(t *testing.T) {
+	w := newWorld(t, 1, resolved("s", 2))
+	for n := range 20 {
+		for num := range byte(10) {
+			w.run = time.Millisecond
+			d := get(uint16(n*10 + int(num)))
+			m := d.encode(t)
+			if num > 0 {
+				m = withBlock2(t, m.Raw, num<<4|2)
+			} else {
+				w.run = 20 * time.Millisecond
+			}
+			w.sendMessage(0, callerA, &m)
+			w.advance(40 * time.Millisecond)
+		}
+	}
+	s, d := w.cores[0].services["s"], get(1)
+	m := d.encode(t)
+	assert.Equal(t, s.pool.Classify(s.contentKey(&m)), spread.Short)
+	assert.Assert(t, s.pool.RunTime() > 15*time.Millisecond, s.pool.RunTime())
+}
+
 // withBlock2 appends a Block2 option to a message whose last option is
 // Uri-Path, or that has none.
 func withBlock2(t assert.TestingT, raw []byte, v byte) message.Message {
