core: say "not run" only where that is known

Cause: a 5.03 counted as "not run" for every request. Change: a rejection that says "not run" carries that diagnostic payload; the core adds it for non-idempotent requests only. The caller stand-in records the claim from the payload, so the check now tests what the response says.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -48,7 +48,7 @@
 		c.grant(a, c.self.ID, c.self.Incarnation)
 		return
 	}
-	c.refuse(&a.exchange)
+	c.refuse(&a.exchange, true)
 }
 
 // grant responds 4.01 with a token that names an incarnation. The issue time
@@ -111,17 +111,27 @@
 	case admission.Answered:
 		c.respond(&a.exchange, &message.Outgoing{Template: e.Response})
 	case admission.Refused:
-		c.respond(&a.exchange, &message.Outgoing{Code: message.ServiceUnavailable, SetMaxAge: true, MaxAge: e.RetryAfter})
+		c.respond(&a.exchange, &message.Outgoing{Code: message.ServiceUnavailable, SetMaxAge: true, MaxAge: e.RetryAfter, Payload: notRun})
 	default:
 		c.unknown(&a.exchange)
 	}
 }
 
-// refuse responds "not run, retry later" at once.
-func (c *Core) refuse(x *exchange) uint32 {
+// notRun is the diagnostic payload of a rejection that says that the request
+// has not run.
+var notRun = []byte("not run")
+
+// refuse responds "retry later" at once. It says "not run" only if that is
+// known: an idempotent request may be a retransmission that another instance
+// has run.
+func (c *Core) refuse(x *exchange, known bool) uint32 {
 	c.counts.Refused++
 	after := c.retryAfter(x.svc)
-	c.respond(x, &message.Outgoing{Code: message.ServiceUnavailable, SetMaxAge: true, MaxAge: after})
+	o := message.Outgoing{Code: message.ServiceUnavailable, SetMaxAge: true, MaxAge: after}
+	if known {
+		o.Payload = notRun
+	}
+	c.respond(x, &o)
 	return after
 }
 
@@ -147,7 +157,7 @@
 		c.giveUp(r)
 		return
 	}
-	after := c.refuse(&r.exchange)
+	after := c.refuse(&r.exchange, r.isAdmitted)
 	if r.isAdmitted {
 		c.admissions.Finish(r.admission, admission.Refused, nil, after)
 	}
--- a/internal/core/caller.go
+++ b/internal/core/caller.go
@@ -99,7 +99,7 @@
 	case !idempotent && len(m.Echo) > 0:
 		c.withToken(a)
 	case s.removed:
-		c.refuse(&a.exchange)
+		c.refuse(&a.exchange, !idempotent)
 	case c.repeated(a):
 	case m.HasObserve && m.Observe <= 1 && idempotent && m.Block2.Num == 0:
 		c.observe(a)
@@ -147,7 +147,7 @@
 		return
 	}
 	if !c.accepting() || !c.fits(s, class, s.partnerOf(a.m.Host, a.caller)) {
-		c.refuse(&a.exchange)
+		c.refuse(&a.exchange, false)
 		return
 	}
 	c.enqueue(c.newRequest(a), class)
--- a/internal/core/feed.go
+++ b/internal/core/feed.go
@@ -57,7 +57,7 @@
 	case f != nil:
 		c.refreshFeed(f, a)
 	case !c.accepting() || a.svc.owned() == 0:
-		c.refuse(&a.exchange)
+		c.refuse(&a.exchange, false)
 	default:
 		c.openFeed(a)
 	}
@@ -88,7 +88,7 @@
 func (c *Core) openFeed(a *arrival) {
 	target, endpoint, ok := a.svc.pool.OpenFeed(c.now, "")
 	if !ok {
-		c.refuse(&a.exchange)
+		c.refuse(&a.exchange, false)
 		return
 	}
 	f := c.feeds.Add(c.now, feedKey(a), a.m.Raw)
@@ -288,7 +288,7 @@
 	}
 	if p := f.Pending; p.Present {
 		x := exchange{svc: c.services[f.Service], caller: f.Caller, kind: p.Type, id: p.ID, token: f.Token, acked: p.Acked}
-		c.refuse(&x) // no registration exists
+		c.refuse(&x, false) // no registration exists
 	}
 	c.endFeed(f)
 }
--- a/internal/standin/caller/caller_test.go
+++ b/internal/standin/caller/caller_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -172,6 +173,7 @@
 			seen["refused"]++
 			m.SetCode(codes.ServiceUnavailable)
 			m.SetOptionUint32(message.MaxAge, 0)
+			m.SetBody(strings.NewReader("not run"))
 		case r.Code() == codes.POST:
 			seen["unknown"]++
 			m.SetCode(codes.GatewayTimeout)
--- a/internal/standin/caller/operation.go
+++ b/internal/standin/caller/operation.go
@@ -53,14 +53,14 @@
 			c.stats.class(op.class, func(k *wire.Class) { k.OK++ })
 			c.stats.took(op.class, time.Since(began))
 		case a.code == codes.ServiceUnavailable && id.Attempt <= maxComebacks:
-			c.stats.refused(id.String())
+			c.notRun(id, a)
 			c.stats.class(op.class, func(k *wire.Class) { k.Comebacks++ })
 			if sleep(ctx, a.maxAge) {
 				continue
 			}
 			c.failed(op, id, began, wire.KindRefused, "run ended")
 		case a.code == codes.ServiceUnavailable || a.code == codes.Unauthorized:
-			c.stats.refused(id.String())
+			c.notRun(id, a)
 			c.failed(op, id, began, wire.KindRefused, a.code.String())
 		case a.code == codes.GatewayTimeout:
 			c.failed(op, id, began, wire.KindUnknown, string(a.body)+"; "+c.outcome(ctx, conn, op, id))
@@ -92,6 +92,14 @@
 	})
 }
 
+// notRun records a refusal that says that the request has not run: 4.01, or
+// 5.03 with that payload.
+func (c *Caller) notRun(id wire.ID, a answer) {
+	if a.code == codes.Unauthorized || string(a.body) == "not run" {
+		c.stats.refused(id.String())
+	}
+}
+
 // attempt sends one request until it has a final answer, and fetches all blocks
 // of the answer. The request is lost when the answer is not complete by its
 // deadline plus the CoAP transmission span.
