--- a/internal/chart/load.go
+++ b/internal/chart/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"slices"
 
@@ -33,6 +34,10 @@
 	dec := toml.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&f); err != nil {
+		var unknown *toml.StrictMissingError
+		if errors.As(err, &unknown) {
+			return nil, fmt.Errorf("decode chart: unknown keys:\n%s", unknown.String())
+		}
 		return nil, fmt.Errorf("decode chart: %w", err)
 	}
 	l := loader{names: names, file: &f}
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -48,6 +48,9 @@
 	return ids.Mix(ids.Hash(string(m.ID)), ids.Mix(uint64(m.Incarnation), state))
 }
 
+// serves reports whether slots may be assigned to the member.
+func serves(m *peerwire.Member) bool { return m.Lifecycle == peerwire.Serving && !m.Suspected }
+
 // put adds the record of an instance that was not known.
 func (v *View) put(m peerwire.Member) *record {
 	r := &record{}
@@ -88,7 +91,9 @@
 	v.digest ^= r.hash
 	r.Member, r.hash = m, recordHash(&m)
 	v.digest ^= r.hash
-	v.servingStale = true
+	if serves(&old) != serves(&m) {
+		v.servingStale = true
+	}
 	v.lastChange = v.now
 	v.log(r)
 }
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -234,7 +234,7 @@
 	v.servingStale = false
 	var list []ids.Instance
 	for id, r := range v.members {
-		if r.Lifecycle == peerwire.Serving && !r.Suspected {
+		if serves(&r.Member) {
 			list = append(list, id)
 		}
 	}
