daemon: shared writers and small read buffers for service sockets

Cause: an idle service socket took 170 KB (a ring of 4,096 for its writer and a read buffer of 64 KB), which is 1.2 GB for the 6,800 services of the target size. Change: four writers are shared by all service sockets; a reader holds one buffer of 2 KB; datagrams above 2,048 bytes are dropped and counted.

--- a/internal/daemon/buffers.go
+++ b/internal/daemon/buffers.go
@@ -7,13 +7,10 @@
 	"arbutusdock.example/arbutusdock/internal/message"
 )
 
-const (
-	// maxDatagram is the largest UDP payload, in bytes.
-	maxDatagram = message.MaxDatagram
-	// pooledBytes is the size of pooled buffers. A Block-wise block of 1 KiB
-	// with its options fits; larger datagrams are allocated one by one.
-	pooledBytes = 2048
-)
+// maxDatagram is the largest datagram that is accepted, in bytes. RFC 7252
+// section 4.6 asks senders to stay within 1,152 bytes; a Block-wise block is at
+// most 1,024. An idle socket holds one buffer of this size.
+const maxDatagram = 2048
 
 // packet is one datagram on its way between a socket and the core.
 type packet struct {
@@ -23,14 +20,14 @@
 	message message.Message // decoded view of data, on the way in
 }
 
-var packets = sync.Pool{New: func() any { return &packet{data: make([]byte, 0, pooledBytes)} }}
+var packets = sync.Pool{New: func() any { return &packet{data: make([]byte, 0, maxDatagram+1)} }}
 
 func newPacket() *packet { return packets.Get().(*packet) }
 
 // release returns p to the pool. Nothing may refer to its data any more.
 func (p *packet) release() {
-	if cap(p.data) > pooledBytes {
-		return // does not keep the memory of a rare large datagram
+	if cap(p.data) != maxDatagram+1 {
+		return // does not keep the memory of a rare large response
 	}
 	*p = packet{data: p.data[:0]}
 	packets.Put(p)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,14 +54,15 @@
 	metrics  *telemetry.Registry
 	clock    clock
 
-	links     *link.Manager
-	peers     net.Listener
-	admin     net.Listener
-	addresses *addresses
-	listeners *listeners
-	backend   *socket
-	checker   *checker
-	watcher   *watcher
+	links      *link.Manager
+	peers      net.Listener
+	admin      net.Listener
+	addresses  *addresses
+	listeners  *listeners
+	backend    *socket
+	toBackends *writer
+	checker    *checker
+	watcher    *watcher
 
 	callers  *ring.Ring[*packet]
 	backends *ring.Ring[*packet]
@@ -184,7 +185,8 @@
 	d.spans = ring.New[telemetry.Hop](spanQueue)
 	d.queries = make(chan func())
 	d.stop = make(chan struct{})
-	d.backend, err = openSocket(backendAddress(s.BackendIP), nil, d.backends, r.Write, newSocketCounts(d.metrics, "backend"))
+	d.toBackends = newWriter(r.Write)
+	d.backend, err = openSocket(backendAddress(s.BackendIP), nil, d.backends, d.toBackends, newSocketCounts(d.metrics, "backend"))
 	return err
 }
 
@@ -218,7 +220,7 @@
 	d.loop.init(d)
 	for name, stats := range map[string]func() ring.Stats{
 		"caller": d.callers.Stats, "backend": d.backends.Stats, "peer": d.messages.Stats, "signal": d.signals.Stats, "control": d.control.Stats,
-		"span": d.spans.Stats, "log": d.logs.Stats, "write_backend": d.backend.out.Stats,
+		"span": d.spans.Stats, "log": d.logs.Stats, "write_backend": d.toBackends.ring.Stats,
 	} {
 		d.metrics.Ring(name, stats)
 	}
@@ -291,6 +293,7 @@
 		}
 	}
 	if d.backend != nil {
+		d.toBackends.close()
 		d.backend.close()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"net/netip"
 	"slices"
+	"strconv"
 	"time"
 
 	"arbutusdock.example/arbutusdock/internal/config"
@@ -24,9 +25,8 @@
 type listeners struct {
 	ip      netip.Addr // for services that name no address
 	in      *ring.Ring[*packet]
-	writes  int
+	writers []*writer
 	log     *slog.Logger
-	metrics *telemetry.Registry
 	counts  socketCounts
 
 	open      map[netip.AddrPort]*listener
@@ -41,13 +41,23 @@
 	unused  time.Time // since when no service uses it; zero while in use
 }
 
+// serviceWriters is the number of goroutines that send to callers. More than
+// one keeps a socket whose send buffer is full from holding up all others.
+const serviceWriters = 4
+
 func newListeners(ip netip.Addr, in *ring.Ring[*packet], writes int, log *slog.Logger, metrics *telemetry.Registry) *listeners {
-	return &listeners{
-		ip: ip, in: in, writes: writes, log: log, metrics: metrics,
+	l := &listeners{
+		ip: ip, in: in, log: log,
 		counts:    newSocketCounts(metrics, "caller"),
 		open:      make(map[netip.AddrPort]*listener),
 		byService: make(map[ids.Service]*listener),
 	}
+	for i := range serviceWriters {
+		w := newWriter(writes)
+		l.writers = append(l.writers, w)
+		metrics.Ring("write_caller_"+strconv.Itoa(i), w.ring.Stats)
+	}
+	return l
 }
 
 // address returns where callers reach s.
@@ -104,7 +114,8 @@
 func (l *listeners) use(now time.Time, at netip.AddrPort, service ids.Service) {
 	o := l.open[at]
 	if o == nil {
-		s, err := openSocket(at, &service, l.in, l.writes, l.counts)
+		writer := l.writers[ids.HashEndpoint(at)%serviceWriters]
+		s, err := openSocket(at, &service, l.in, writer, l.counts)
 		if err != nil {
 			l.log.Error("service-socket-failed", "service", service, "address", at, "error", err)
 			l.retryAt = now.Add(reopenAfter)
@@ -112,7 +123,6 @@
 		}
 		o = &listener{at: at, socket: s}
 		l.open[at] = o
-		l.metrics.Ring(ringName(at), s.out.Stats)
 		l.log.Info("service-socket-opened", "service", service, "address", at)
 	}
 	o.service, o.unused = service, time.Time{}
@@ -120,8 +130,6 @@
 	l.byService[service] = o
 }
 
-func ringName(at netip.AddrPort) string { return "write_service_" + at.String() }
-
 // expire closes the sockets that are no longer used and reports whether apply
 // is to be called again for a bind that failed.
 func (l *listeners) expire(now time.Time) (again bool) {
@@ -138,8 +146,7 @@
 	if l.byService[o.service] == o {
 		delete(l.byService, o.service)
 	}
-	l.metrics.RemoveRing(ringName(at))
-	go o.socket.close() // waits for its goroutines
+	o.socket.close()
 	l.log.Info("service-socket-closed", "service", o.service, "address", at)
 }
 
@@ -156,6 +163,9 @@
 
 // close writes what is queued and closes all sockets.
 func (l *listeners) close() {
+	for _, w := range l.writers {
+		w.close()
+	}
 	for _, o := range l.open {
 		o.socket.close()
 	}
--- a/internal/daemon/socket.go
+++ b/internal/daemon/socket.go
@@ -1,12 +1,10 @@
 package daemon
 
 import (
-	"context"
 	"errors"
 	"expvar"
 	"net"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,25 +20,24 @@
 	// socketBuffer is asked for in each direction; the kernel may grant less.
 	// It covers bursts while the reader goroutine is not scheduled.
 	socketBuffer = 4 << 20
-	// closeGrace bounds a write that blocks while the socket closes.
-	closeGrace = 500 * time.Millisecond
 	// readPause bounds the rate of repeated read errors.
 	readPause = 10 * time.Millisecond
 )
 
-// socket is one UDP socket with a reader and a writer goroutine.
+// socket is one UDP socket with a reader goroutine. Its writer is shared.
 type socket struct {
 	conn    *net.UDPConn
 	service atomic.Pointer[ids.Service] // of arriving datagrams; nil for backend servers
 	in      *ring.Ring[*packet]
-	out     *ring.Ring[*packet]
+	writer  *writer
 	counts  socketCounts
-	tasks   sync.WaitGroup
-	written chan struct{} // closed when the writer has ended
-	cancel  context.CancelFunc
+	done    chan struct{} // closed when the reader has ended
 }
 
-type socketCounts struct{ received, sent, receivedBytes, sentBytes, malformed, readErrors, writeErrors *expvar.Int }
+type socketCounts struct {
+	received, sent, receivedBytes, sentBytes     *expvar.Int
+	malformed, oversize, readErrors, writeErrors *expvar.Int
+}
 
 func newSocketCounts(r *telemetry.Registry, name string) socketCounts {
 	return socketCounts{
@@ -49,14 +46,15 @@
 		receivedBytes: r.Counter(name + "_received_bytes_total"),
 		sentBytes:     r.Counter(name + "_sent_bytes_total"),
 		malformed:     r.Counter(name + "_malformed_dropped_total"),
+		oversize:      r.Counter(name + "_oversize_dropped_total"),
 		readErrors:    r.Counter(name + "_read_errors_total"),
 		writeErrors:   r.Counter(name + "_write_errors_total"),
 	}
 }
 
-// openSocket binds a UDP socket and starts its goroutines. Datagrams that
-// decode are pushed to in.
-func openSocket(at netip.AddrPort, service *ids.Service, in *ring.Ring[*packet], writes int, counts socketCounts) (*socket, error) {
+// openSocket binds a UDP socket and starts its reader. Datagrams that decode
+// are pushed to in.
+func openSocket(at netip.AddrPort, service *ids.Service, in *ring.Ring[*packet], w *writer, counts socketCounts) (*socket, error) {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
 	if err != nil {
 		return nil, eris.Wrapf(err, "open UDP socket %s", at)
@@ -64,20 +62,20 @@
 	// The kernel's limit may be lower; smaller buffers only lose more bursts.
 	_ = conn.SetReadBuffer(socketBuffer)
 	_ = conn.SetWriteBuffer(socketBuffer)
-	ctx, cancel := context.WithCancel(context.Background())
-	s := &socket{conn: conn, in: in, out: ring.New[*packet](writes), counts: counts, cancel: cancel, written: make(chan struct{})}
+	s := &socket{conn: conn, in: in, writer: w, counts: counts, done: make(chan struct{})}
 	s.service.Store(service)
-	s.tasks.Go(s.read)
-	s.tasks.Go(func() { s.write(ctx) })
+	go s.read()
 	return s, nil
 }
 
 func (s *socket) read() {
-	buf := make([]byte, maxDatagram+1)
+	defer close(s.done)
+	p := newPacket()
 	for {
-		n, from, err := s.conn.ReadFromUDPAddrPort(buf)
+		n, from, err := s.conn.ReadFromUDPAddrPort(p.data[:cap(p.data)])
 		switch {
 		case errors.Is(err, net.ErrClosed):
+			p.release()
 			return
 		case err != nil:
 			s.counts.readErrors.Add(1)
@@ -86,64 +84,92 @@
 		}
 		s.counts.received.Add(1)
 		s.counts.receivedBytes.Add(int64(n))
-		s.accept(buf[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		p.data, p.peer = p.data[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		if s.accept(p) {
+			p = newPacket()
+		}
 	}
 }
 
-func (s *socket) accept(data []byte, from ids.Endpoint) {
-	p := newPacket()
-	p.data = append(p.data, data...)
-	p.peer = from
-	if service := s.service.Load(); service != nil {
-		p.service = *service
+// accept passes p to the core and reports whether it did.
+func (s *socket) accept(p *packet) bool {
+	if len(p.data) > maxDatagram { // the rest was cut off
+		s.counts.oversize.Add(1)
+		return false
 	}
 	if err := message.Decode(p.data, &p.message); err != nil {
 		s.counts.malformed.Add(1)
-		p.release()
-		return
+		return false
 	}
-	if !s.in.Push(p) {
-		p.release()
+	if service := s.service.Load(); service != nil {
+		p.service = *service
 	}
+	return s.in.Push(p)
 }
 
 // send queues p and releases it in the end.
 func (s *socket) send(p *packet) {
-	if !s.out.Push(p) {
+	if !s.writer.ring.Push(outbound{socket: s, packet: p}) {
 		p.release()
 	}
 }
 
-func (s *socket) write(ctx context.Context) {
-	defer close(s.written)
+// close closes the socket and waits for its reader. What its writer has not
+// sent yet is lost.
+func (s *socket) close() {
+	_ = s.conn.Close()
+	<-s.done
+}
+
+// outbound is a datagram and the socket that it leaves from.
+type outbound struct {
+	socket *socket
+	packet *packet
+}
+
+// writer sends the datagrams of several sockets in one goroutine. Sharing it
+// keeps an idle service socket small.
+type writer struct {
+	ring *ring.Ring[outbound]
+	stop chan struct{}
+	done chan struct{}
+}
+
+func newWriter(capacity int) *writer {
+	w := &writer{ring: ring.New[outbound](capacity), stop: make(chan struct{}), done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+func (w *writer) run() {
+	defer close(w.done)
 	for {
 		select {
-		case p := <-s.out.Out():
-			s.writeOne(p)
-		case <-ctx.Done():
-			for s.out.Stats().Depth > 0 {
-				s.writeOne(<-s.out.Out())
+		case o := <-w.ring.Out():
+			o.write()
+		case <-w.stop:
+			for w.ring.Stats().Depth > 0 {
+				o := <-w.ring.Out()
+				o.write()
 			}
 			return
 		}
 	}
 }
 
-func (s *socket) writeOne(p *packet) {
-	if _, err := s.conn.WriteToUDPAddrPort(p.data, p.peer); err != nil {
-		s.counts.writeErrors.Add(1)
+func (o outbound) write() {
+	counts := &o.socket.counts
+	if _, err := o.socket.conn.WriteToUDPAddrPort(o.packet.data, o.packet.peer); err != nil {
+		counts.writeErrors.Add(1)
 	} else {
-		s.counts.sent.Add(1)
-		s.counts.sentBytes.Add(int64(len(p.data)))
+		counts.sent.Add(1)
+		counts.sentBytes.Add(int64(len(o.packet.data)))
 	}
-	p.release()
+	o.packet.release()
 }
 
-// close writes what is queued and closes the socket.
-func (s *socket) close() {
-	_ = s.conn.SetWriteDeadline(time.Now().Add(closeGrace))
-	s.cancel()
-	<-s.written
-	_ = s.conn.Close()
-	s.tasks.Wait()
+// close sends what is queued. Nothing may be queued afterwards.
+func (w *writer) close() {
+	close(w.stop)
+	<-w.done
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -48,13 +48,6 @@
 	r.Gauge("ring_"+name+"_dropped_total", func() any { return stats().Dropped })
 }
 
-// RemoveRing removes the counters of a ring that no longer exists.
-func (r *Registry) RemoveRing(name string) {
-	for _, suffix := range []string{"_depth_entries", "_peak_entries", "_capacity_entries", "_dropped_total"} {
-		r.vars.Delete("ring_" + name + suffix)
-	}
-}
-
 // ServeHTTP writes the metrics of the daemon and the global ones of the
 // process (cmdline, memstats) as one JSON object in the format of expvar.
 func (r *Registry) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
