--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"arbutusdock.example/arbutusdock/internal/ids"
 	"arbutusdock.example/arbutusdock/internal/keys"
@@ -356,6 +357,17 @@
 	}
 	c.get(at)
 	assert.Equal(t, r.d.loop.panics.Value(), int64(0))
+	for range 3 { // a fault in the core costs one event
+		assert.Assert(t, r.d.ask(t.Context(), func() { panic("test") }))
+	}
+	c.get(at)
+	poll.WaitOn(t, func(poll.LogT) poll.Result { // log lines are written by another goroutine
+		if strings.Contains(r.log.String(), "msg=core-panic") {
+			return poll.Success()
+		}
+		return poll.Continue("no line")
+	})
+	assert.Equal(t, strings.Count(r.log.String(), "msg=core-panic"), 1)
 	assert.Assert(t, r.d.metrics.Counter("caller_malformed_dropped_total").Value() > 100)
 	assert.Assert(t, r.d.metrics.Counter("backend_malformed_dropped_total").Value() > 100)
 }
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -46,6 +46,7 @@
 
 	decisions   *hdrhistogram.Histogram // nanoseconds, since the last publication
 	publishedAt time.Time
+	panicLogged time.Time
 	published   atomic.Pointer[published]
 
 	events, panics, unsent, unroutable, checksDropped, spansDropped *expvar.Int
@@ -118,7 +119,7 @@
 		case e := <-l.d.control.Out():
 			l.control(e)
 		case query := <-l.d.queries:
-			query()
+			l.guard(query)
 		case <-stop:
 			stop, l.stopping = nil, true
 			l.d.log.Info("shutdown-started")
@@ -149,23 +150,35 @@
 	}
 }
 
-// step runs call. A panic in the core costs the event that caused it, not the
-// flows of the instance; it is counted and logged with its stack.
+// step runs call and carries its effects out.
 func (l *loop) step(call func(now ids.Time)) {
+	l.guard(func() {
+		l.effects.Reset()
+		start := l.d.clock.now()
+		call(start)
+		_ = l.decisions.RecordValue(l.d.clock.now().Sub(start).Nanoseconds()) // fails above maxDecision only
+		l.events.Add(1)
+		for i := range l.effects.List {
+			l.carryOut(&l.effects.List[i])
+		}
+	})
+}
+
+// guard runs f. A panic costs the event that caused it, not the flows of the
+// instance; it is counted, and logged with its stack at most once a second.
+func (l *loop) guard(f func()) {
 	defer func() {
-		if p := recover(); p != nil {
-			l.panics.Add(1)
+		p := recover()
+		if p == nil {
+			return
+		}
+		l.panics.Add(1)
+		if now := time.Now(); now.Sub(l.panicLogged) >= time.Second {
+			l.panicLogged = now
 			l.d.log.Error("core-panic", "panic", p, "stack", string(debug.Stack()))
 		}
 	}()
-	l.effects.Reset()
-	start := l.d.clock.now()
-	call(start)
-	_ = l.decisions.RecordValue(l.d.clock.now().Sub(start).Nanoseconds()) // fails above maxDecision only
-	l.events.Add(1)
-	for i := range l.effects.List {
-		l.carryOut(&l.effects.List[i])
-	}
+	f()
 }
 
 func (l *loop) peer(m *peerwire.Message) {
