config, member: read all pages when joining; check cross traffic

One read of the platform returns at most 1 MB, and an instance without peers counted the first page as everything: it served 1 page of 10 in the new test. It now reads until a read brings nothing new.

Members with an unknown lifecycle value are ignored.

--- a/internal/config/sync.go
+++ b/internal/config/sync.go
@@ -79,7 +79,9 @@
 
 	startedAt ids.Time // start, or the end of a pause
 	ready     bool
-	answered  bool // the platform has answered since startedAt
+	answered  bool // the platform had nothing newer since startedAt
+	more      bool // the last read brought something, so more may follow
+	sentAfter ids.Revision
 
 	asked     ids.Instance // peer asked; empty when none
 	askedAt   ids.Time
@@ -120,6 +122,7 @@
 
 func (y *Syncer) begin(now ids.Time) {
 	y.startedAt, y.newsAt, y.ready, y.answered = now, now, false, false
+	y.more = false
 	y.asked, y.attempts, y.inFlight, y.readAfter, y.backoff = "", 0, false, 0, 0
 	y.pollAt = now.Add(pollGap + y.jitter(pollJitter))
 	y.silentFor = silence + y.jitter(silenceJitter)
@@ -154,12 +157,15 @@
 		y.failed(now)
 		return
 	}
-	y.answered, y.backoff = true, 0
+	// A read returns at most 1 MB, so only one that brings nothing new shows
+	// that everything has been read.
+	y.more = upto > y.sentAfter
+	y.answered, y.backoff = y.answered || !y.more, 0
 	y.platform = upto
 	y.pollAt = now.Add(pollGap + y.jitter(pollJitter))
 	y.readAfter = now.Add(watchGap)
 	switch {
-	case !y.ready:
+	case !y.ready && !y.more:
 		y.readAfter = now.Add(joinGap)
 	case upto < y.newest():
 		y.readAfter = now.Add(staleGap + y.jitter(staleGap))
@@ -196,7 +202,7 @@
 	default:
 		return
 	}
-	y.inFlight, y.sentAt = true, now
+	y.inFlight, y.sentAt, y.sentAfter = true, now, s.Revision()
 	kind := ReadPlatform
 	if y.watching {
 		kind = WatchPlatform
@@ -290,8 +296,8 @@
 	case !y.ready:
 		// Peers first; a large difference takes too long on control links.
 		waited := now.Sub(y.startedAt)
-		return waited >= joinPeers || len(y.peers) == 0 && !y.answered && waited >= joinAlone
-	case y.platform > have:
+		return waited >= joinPeers || y.more || len(y.peers) == 0 && !y.answered && waited >= joinAlone
+	case y.platform > have || y.more && !watch:
 		return true
 	case y.attempts >= peerAttempts:
 		return true
--- a/internal/config/sync_test.go
+++ b/internal/config/sync_test.go
@@ -23,11 +23,12 @@
 	serving  []ids.Instance
 	count    map[RequestKind]int
 	pending  []func()
+	page     int // bytes that one read returns
 }
 
 func newFleet(t *testing.T) *fleet {
 	return &fleet{t: t, now: syncStart, y: NewSyncer("a", 1), peers: map[ids.Instance]*Store{},
-		mute: map[ids.Instance]bool{}, count: map[RequestKind]int{}}
+		mute: map[ids.Instance]bool{}, count: map[RequestKind]int{}, page: big}
 }
 
 func storeAt(r ids.Revision) *Store {
@@ -51,7 +52,7 @@
 		f.pending = append(f.pending, func() { f.y.Read(f.now, 0, false) })
 	case r.Kind == ReadPlatform:
 		f.pending = append(f.pending, func() {
-			d := f.platform.Delta(r.After, big)
+			d := f.platform.Delta(r.After, f.page)
 			f.store.Apply(d.Documents, d.Upto)
 			f.y.Read(f.now, d.Upto, true)
 		})
@@ -114,6 +115,16 @@
 	assert.Assert(t, f.y.Ready(), "an empty platform is a complete answer")
 }
 
+// Guards against an instance that serves after the first page of many.
+func TestJoinReadsAllPages(t *testing.T) {
+	f := newFleet(t)
+	f.platform, f.page = benchStore(100), 10_000
+	for !f.y.Ready() {
+		f.run(10 * time.Millisecond)
+	}
+	assert.Equal(t, f.store.Revision(), f.platform.Revision())
+}
+
 // Guards against a missing or a second watch, a watch that goes silent for
 // ever, and reads by instances that are not watchers.
 func TestWatch(t *testing.T) {
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -101,7 +101,7 @@
 // merge handles a record received on link slot from, or -1 when the sender is
 // no neighbour.
 func (v *View) merge(m *peerwire.Member, from int) {
-	if m.DataCentre != v.self.DataCentre || m.ID == "" {
+	if m.DataCentre != v.self.DataCentre || m.ID == "" || m.Lifecycle > peerwire.Gone {
 		return
 	}
 	if m.ID == v.id {
--- a/internal/member/traffic_test.go
+++ b/internal/member/traffic_test.go
@@ -1,10 +1,13 @@
 package member
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
 )
 
 // Guards against control traffic above 2 KB/s per node, sent and received
@@ -31,6 +34,22 @@
 	}
 }
 
+// Guards against links to other data centres that take an instance above
+// 2 KB/s: 5 data centres with 10 instances each.
+func TestControlBytesAcrossDataCentres(t *testing.T) {
+	s := newSim(0)
+	for i := range 50 {
+		s.seeds = append(s.seeds, Seed{ID: name(i), DataCentre: ids.DataCentre("dc" + strconv.Itoa(i%5)), PeerAddr: "10.20.30.40:7000"})
+	}
+	for _, seed := range s.seeds {
+		s.startIn(seed.ID, 1, seed.DataCentre, s.seeds)
+	}
+	s.run(30 * time.Second)
+	mean, greatest := s.rates(10 * time.Second)
+	t.Logf("mean %.0f B/s, greatest %.0f B/s", mean, greatest)
+	assert.Assert(t, greatest <= 2000)
+}
+
 // Guards against a cold start that does not converge.
 func TestColdStart(t *testing.T) {
 	for _, size := range []int{1, 5, 9, 24, 50, 100} {
