link: small control messages overtake bulk ones within the budget

Change: messages up to 1,500 B use the budget of the heartbeats, at the same rate; only a heartbeat above it is dropped. Metrics give the bytes by kind of message.

--- a/internal/link/budget.go
+++ b/internal/link/budget.go
@@ -3,8 +3,6 @@
 import (
 	"sync"
 	"time"
-
-	"arbutusdock.example/arbutusdock/internal/peerwire"
 )
 
 // overhead is what one message costs on the wire beyond its own bytes: a TLS
@@ -19,14 +17,15 @@
 const burst = 2 * time.Second
 
 // Budget enforces the bytes a second that the control lanes of all links of
-// one instance may use together. Heartbeats have precedence, so that a large
-// configuration delta cannot delay them until peers suspect this instance:
-// they may use the whole rate even while a bulk message is being paid off.
-// A bulk message is sent when nothing is owed, and its size is owed then.
+// one instance may use together. Urgent messages have precedence, so that a
+// large configuration delta cannot delay heartbeats until peers suspect this
+// instance, or a small new document beyond the 5 s in which it is to take
+// effect: they may use the whole rate even while a bulk message is being paid
+// off. A bulk message is sent when nothing is owed, and its size is owed then.
 type Budget struct {
 	mu     sync.Mutex
 	rate   float64 // bytes a second
-	urgent float64 // bytes that heartbeats may use now
+	urgent float64 // bytes that urgent messages may use now
 	total  float64 // bytes that bulk messages may use now; negative: owed
 	last   time.Time
 }
@@ -37,8 +36,9 @@
 	return &Budget{rate: float64(rate), urgent: full, total: full}
 }
 
-// urgentMessage reports whether m is delayed by no bulk message.
-func urgentMessage(m *peerwire.Message) bool { return m.Heartbeat != nil }
+// urgentBytes is the size up to which any control message is urgent. The
+// profile of docs/examples with its envelope has 1,283 B.
+const urgentBytes = 1500
 
 // Take asks to send a control message of size bytes at now. When it may not
 // be sent yet, wait is the time after which to ask again.
--- a/internal/link/lane.go
+++ b/internal/link/lane.go
@@ -19,9 +19,9 @@
 )
 
 type outgoing struct {
-	data   []byte
-	urgent bool
-	at     time.Time
+	data        []byte
+	replaceable bool // a heartbeat: the next one replaces it
+	at          time.Time
 }
 
 // conn is one WebSocket connection. Times are Unix nanoseconds.
@@ -179,11 +179,28 @@
 	}
 }
 
-// take sends out, or puts it behind the bulk messages that wait for budget.
+// take sends out, or puts it behind the bulk messages that wait for budget. A
+// heartbeat that exceeds the budget is dropped.
 func (l *lane) take(out *outgoing) {
-	if l.key.lane == peerwire.Data || out.urgent {
+	switch {
+	case l.key.lane == peerwire.Data:
 		l.send(out)
 		return
+	case out.replaceable || len(out.data) <= urgentBytes:
+		// The connection comes first: budget for a peer that cannot be reached
+		// would be wasted.
+		if l.connect(out) == nil {
+			l.m.counts.stale.Add(1)
+			return
+		}
+		if _, ok := l.m.budget.Take(time.Now(), len(out.data), true); ok {
+			l.send(out)
+			return
+		}
+		if out.replaceable {
+			l.m.counts.overBudget.Add(1)
+			return
+		}
 	}
 	if len(l.bulk) >= l.m.config.Queue {
 		l.m.counts.queueFull.Add(1)
@@ -236,22 +253,15 @@
 	c.unheard.Store(0)
 }
 
-// send writes out to the peer. A heartbeat that exceeds the budget is dropped:
-// the next one replaces it.
+// send writes out to the peer.
 func (l *lane) send(out *outgoing) {
 	// A connection that the peer closed meanwhile fails at the first write;
 	// the message is sent over a new one then.
-	for try := range 2 {
+	for range 2 {
 		c := l.connect(out)
 		if c == nil {
 			break
 		}
-		if try == 0 && out.urgent {
-			if _, ok := l.m.budget.Take(time.Now(), len(out.data), true); !ok {
-				l.m.counts.overBudget.Add(1)
-				return
-			}
-		}
 		if l.write(c, out.data) {
 			return
 		}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -91,6 +91,8 @@
 	sent, received, sentBytes, receivedBytes             [2]*expvar.Int // by lane
 	queueFull, stale, overBudget, malformed, impersonate *expvar.Int
 	dials, dialFailures, accepted, silent                *expvar.Int
+
+	queuedBytes map[string]*expvar.Int // by kind of message
 }
 
 func newCounters(r *telemetry.Registry) counters {
@@ -101,6 +103,10 @@
 		c.sentBytes[lane] = r.Counter("link_" + name + "_sent_bytes_total")
 		c.receivedBytes[lane] = r.Counter("link_" + name + "_received_bytes_total")
 	}
+	c.queuedBytes = make(map[string]*expvar.Int, len(peerwire.Kinds))
+	for _, kind := range peerwire.Kinds {
+		c.queuedBytes[kind] = r.Counter("link_queued_" + kind + "_bytes_total")
+	}
 	c.queueFull = r.Counter("link_queue_full_dropped_total")
 	c.stale = r.Counter("link_stale_dropped_total")
 	c.overBudget = r.Counter("link_control_budget_dropped_total")
@@ -162,7 +168,8 @@
 		return false
 	}
 	select {
-	case l.queue <- &outgoing{data: data, urgent: urgentMessage(msg), at: time.Now()}:
+	case l.queue <- &outgoing{data: data, replaceable: msg.Heartbeat != nil, at: time.Now()}:
+		m.counts.queuedBytes[msg.Kind()].Add(int64(len(data)))
 		return true
 	default:
 		m.counts.queueFull.Add(1)
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -282,6 +282,23 @@
 	assert.Assert(t, total <= allowed+1000 && total > allowed-2000, "%v of %v bytes", total, allowed)
 }
 
+// Guards against a small configuration change that waits for a large one to be
+// paid off, which takes 30 s for a delta of 64 KB.
+func TestSmallControlMessageOvertakes(t *testing.T) {
+	f := newFleet(t)
+	_, got := f.start("b", nil)
+	a, _ := f.start("a", func(c *Config) { c.Budget = 2048 })
+	delta := func(n int) *peerwire.Message {
+		return &peerwire.Message{From: "a", ConfigDelta: &peerwire.ConfigDelta{Documents: []peerwire.Document{{Key: "k", Value: make([]byte, n)}}}}
+	}
+	for _, n := range []int{60 << 10, 60 << 10, 1000} {
+		assert.Assert(t, a.Send("b", delta(n)))
+	}
+	assert.Equal(t, len(receive(t, got).ConfigDelta.Documents[0].Value), 60<<10)
+	assert.Equal(t, len(receive(t, got).ConfigDelta.Documents[0].Value), 1000)
+	assert.Assert(t, a.budget.Owed() > 50<<10)
+}
+
 // startProxy forwards TCP to target. mute makes present connections silent
 // without closing them.
 func startProxy(t testing.TB, target string) (address string, mute func()) {
--- a/internal/peerwire/codec.go
+++ b/internal/peerwire/codec.go
@@ -96,6 +96,12 @@
 	return n
 }
 
+// Kinds lists the results of Kind for messages with a body.
+var Kinds = [...]string{
+	"heartbeat", "member_delta", "config_request", "config_delta",
+	"relay", "slot_free", "ack_route", "feed_move", "feed_moved", "admission_move", "admission_moved",
+}
+
 // Kind returns the name of the body, for logs and metrics.
 func (m *Message) Kind() string {
 	switch {
