--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -48,6 +48,9 @@
 	return ids.Mix(ids.Hash(string(m.ID)), ids.Mix(uint64(m.Incarnation), state))
 }
 
+// serves reports whether slots may be assigned to the member.
+func serves(m *peerwire.Member) bool { return m.Lifecycle == peerwire.Serving && !m.Suspected }
+
 // put adds the record of an instance that was not known.
 func (v *View) put(m peerwire.Member) *record {
 	r := &record{}
@@ -88,7 +91,9 @@
 	v.digest ^= r.hash
 	r.Member, r.hash = m, recordHash(&m)
 	v.digest ^= r.hash
-	v.servingStale = true
+	if serves(&old) != serves(&m) {
+		v.servingStale = true
+	}
 	v.lastChange = v.now
 	v.log(r)
 }
@@ -96,7 +101,7 @@
 // merge handles a record received on link slot from, or -1 when the sender is
 // no neighbour.
 func (v *View) merge(m *peerwire.Member, from int) {
-	if m.DataCentre != v.self.DataCentre || m.ID == "" {
+	if m.DataCentre != v.self.DataCentre || m.ID == "" || m.Lifecycle > peerwire.Gone {
 		return
 	}
 	if m.ID == v.id {
@@ -169,7 +174,20 @@
 	m := r.Member
 	m.Suspected = true
 	v.replace(r, m)
-	v.urgent = v.urgent || len(actions) > 0
+	if len(actions) > 0 {
+		v.broadcast(r)
+	}
+}
+
+// broadcast sends a change made here to all neighbours with the next Tick.
+func (v *View) broadcast(r *record) {
+	v.urgent = true
+	for i := range v.links {
+		if v.links[i].id != "" {
+			v.tell(v.links[i].id, r.Member)
+			v.markKnown(i, r)
+		}
+	}
 }
 
 func suspicionState(r *record) chart.State {
@@ -196,7 +214,7 @@
 			v.replace(r, m)
 			// Every instance that knows of the suspicion does the same by its
 			// own clock, so this is not gossiped.
-			r.knownBy = 1<<maxLinks - 1
+			r.quiet = true
 		}
 	}
 	for i, s := range v.successors {
