spread: use a target that was taken over only after its first health check

Cause: a new owner of a slot (after a stop, a kill or a join) knows nothing of a drain that only the health endpoint reports, and dispatched to the target in the 10 to 15 ms before its first check had ended. Found by the random test of internal/proof.

Change: the slots of a target that was taken over are not usable until the first check has ended, for at most 200 ms. They count as owned meanwhile, so that requests are queued and not refused. The test fixture of the package reports the first checks, as the daemon does.

--- /dev/null
+++ b/internal/spread/firstcheck_test.go
@@ -0,0 +1,39 @@
+package spread
+
+import (
+	"testing"
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against new work on a draining target in the moment after a change of
+// ownership: the new owner does not know of a drain that only the health
+// endpoint reports until its first check has ended.
+func TestNewOwnerChecksFirst(t *testing.T) {
+	f := newFixture(2)
+	f.SetInstances(f.now, nil)
+	f.SetInstances(f.now, names(1))
+	f.pool = f.Pool("s")
+	_, ok := f.pool.Acquire(f.now, Short, "")
+	assert.Assert(t, !ok, "used before the first check")
+	f.advance(10 * time.Millisecond)
+	assert.DeepEqual(t, f.due, map[ids.Target]int{"t00000": 1, "t00001": 1})
+	f.pool.Health(f.now, Health{Target: "t00000", Healthy: true, Draining: true})
+	f.pool.Health(f.now, Health{Target: "t00001", Healthy: true})
+	assert.Equal(t, f.pool.Owned(), 2)
+	l, ok := f.pool.Acquire(f.now, Short, "")
+	assert.Assert(t, ok && l.Target == "t00001")
+}
+
+// Guards against a target whose health endpoint never answers and that is not
+// used for that reason alone.
+func TestFirstCheckWaitIsBounded(t *testing.T) {
+	f := newFixture(1)
+	f.SetInstances(f.now, nil)
+	f.SetInstances(f.now, names(1))
+	f.pool = f.Pool("s")
+	f.advance(firstCheckWait + 10*time.Millisecond)
+	assert.Equal(t, f.pool.Free(Short), 2)
+}
--- a/internal/spread/fixture_test.go
+++ b/internal/spread/fixture_test.go
@@ -55,9 +55,18 @@
 	f.SetInstances(f.now, names(1))
 	f.SetService(f.now, f.r)
 	f.pool = f.Pool("s")
+	f.passFirstChecks()
 	return f
 }
 
+// passFirstChecks reports every owned target as healthy, as the checks that
+// follow a takeover of slots do.
+func (f *fixture) passFirstChecks() {
+	for _, t := range f.pool.Targets(nil) {
+		f.pool.Health(f.now, Health{Target: t.Target, Healthy: true})
+	}
+}
+
 func (f *fixture) advance(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); {
 		f.now = f.now.Add(10 * time.Millisecond)
--- a/internal/spread/health.go
+++ b/internal/spread/health.go
@@ -130,6 +130,12 @@
 	t := p.targets[i]
 	previous := t.lastCheck
 	t.lastCheck = now
+	defer func() { // after a drain has been noted
+		if t.uncheckedUntil != 0 {
+			t.uncheckedUntil = 0
+			p.refresh(now, i)
+		}
+	}()
 	drains := t.life.State() == chart.BackendDraining
 	switch {
 	case h.Draining && !drains:
--- a/internal/spread/pool.go
+++ b/internal/spread/pool.go
@@ -31,6 +31,7 @@
 	suspect   int   // suspected ones among them
 	usable    int   // usable owned slots
 	free      int   // free ones among them
+	unchecked int   // owned slots that wait for the first health check
 	probes    int   // suspected targets that are due for a probe request
 	head      int32 // targets with a free slot, longest idle first
 	tail      int32
@@ -84,7 +85,11 @@
 		}
 		switch {
 		case found:
+			regained := p.targets[i].owned == 0 && owned > 0
 			p.targets[i].owned = owned
+			if regained {
+				p.checkFirst(now, i, m)
+			}
 		case owned > 0:
 			i = p.add(now, m, owned)
 		default:
@@ -128,10 +133,20 @@
 	}
 	p.byName[m.Name] = i
 	t.nextCheck = p.nextPhase(now, i)
-	p.fresh = append(p.fresh, i)
+	p.checkFirst(now, i, m)
 	return i
 }
 
+// checkFirst asks for a health check at once and delays the use of target i
+// until its result: a drain that only the health endpoint reports is known to
+// the previous owner alone.
+func (p *Pool) checkFirst(now ids.Time, i int32, m *member) {
+	p.fresh = append(p.fresh, i)
+	if m.Health != "" {
+		p.targets[i].uncheckedUntil = now.Add(firstCheckWait)
+	}
+}
+
 // remove ends the life of a target. Its entry stays while requests run.
 func (p *Pool) remove(i int32) {
 	t := p.targets[i]
@@ -218,7 +233,12 @@
 	free := max(usable-t.inUse, 0)
 	p.usable += usable - t.usable
 	p.free += free - t.free
-	t.usable, t.free = usable, free
+	unchecked := 0
+	if t.unchecked(now) && !t.leaving() && !t.unproven && (p.panicking || !t.suspected()) {
+		unchecked = t.owned
+	}
+	p.unchecked += unchecked - t.uncheckedSlots
+	t.usable, t.free, t.uncheckedSlots = usable, free, unchecked
 	ready := !p.panicking && t.canProbe(now)
 	if ready != t.probeReady {
 		t.probeReady = ready
@@ -242,7 +262,7 @@
 
 // timer returns the latest of the running timers of t.
 func (t *target) timer() ids.Time {
-	end := t.heldUntil
+	end := max(t.heldUntil, t.uncheckedUntil)
 	if t.life.State() == chart.BackendStarting {
 		end = max(end, t.slowUntil)
 	}
@@ -282,8 +302,9 @@
 }
 
 // Owned returns the number of usable owned slots, including one for each
-// suspected target that is due for a probe request.
-func (p *Pool) Owned() int { return p.usable + p.probes }
+// suspected target that is due for a probe request and those that become
+// usable when the first health check ends.
+func (p *Pool) Owned() int { return p.usable + p.probes + p.unchecked }
 
 // Free returns the number of slots that a request of class c may take now.
 func (p *Pool) Free(c Class) int {
--- a/internal/spread/target.go
+++ b/internal/spread/target.go
@@ -32,8 +32,12 @@
 
 	slowUntil ids.Time // end of slow start while starting
 	heldUntil ids.Time // end of the pause after a shed request
-	sheds     int      // consecutive shed requests
-	timed     bool     // in the list of targets with a timer
+	// uncheckedUntil is the end of the wait for the first health check since
+	// slots were taken over; uncheckedSlots counts the slots that wait.
+	uncheckedUntil ids.Time
+	uncheckedSlots int
+	sheds          int  // consecutive shed requests
+	timed          bool // in the list of targets with a timer
 
 	unproven     bool     // new, and nothing has shown yet that it is up
 	fromRequests bool     // suspected because of requests, not of checks
@@ -69,6 +73,9 @@
 	minShedBackOff     = 20 * time.Millisecond
 	maxShedBackOff     = 320 * time.Millisecond
 	failedCheckBackOff = 2 * time.Second
+	// A health check takes milliseconds. A longer wait would leave slots unused
+	// after a takeover when the health endpoint does not answer.
+	firstCheckWait = 200 * time.Millisecond
 	// A new target whose checks do not pass is probed with a request after this
 	// time, because the health endpoint may be wrong.
 	unprovenWait = 5 * time.Second
@@ -96,13 +103,16 @@
 	return s == chart.BackendDraining || s == chart.BackendGone
 }
 
+// unchecked reports whether the first check after a takeover has not ended.
+func (t *target) unchecked(now ids.Time) bool { return now.Before(t.uncheckedUntil) }
+
 // counted reports whether the target counts for the panic threshold.
 func (t *target) counted() bool { return t.owned > 0 && !t.leaving() && !t.unproven }
 
 // limit returns how many owned slots may be used now.
 func (t *target) limit(now ids.Time, panicking bool) int {
 	switch {
-	case t.leaving(), t.unproven, now.Before(t.heldUntil), t.suspected() && !panicking:
+	case t.leaving(), t.unproven, now.Before(t.heldUntil), t.unchecked(now), t.suspected() && !panicking:
 		return 0
 	case t.life.State() == chart.BackendStarting && t.first:
 		return min(t.owned, 1)
