proof: random test of the invariants on six real cores in two data centres

Cause: the tests of internal/core join a few cores of one data centre without a platform, health checks, clock errors or real configuration.

Change: package internal/proof joins two data centres with three instances each, 12 backend servers, the platform with revisions, its list of instances and callers that retransmit, under a virtual clock. Its oracle knows only what callers asked and backend servers ran. `make fuzz` goes on with fresh seeds and then runs the native fuzz targets.

--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,6 @@
 
 experiment:
 	$(GO) run ./cmd/experiment --out docs/experiments
+
+fuzz:
+	GO=$(GO) scripts/fuzz.sh
--- /dev/null
+++ b/internal/proof/platform_test.go
@@ -0,0 +1,186 @@
+package proof
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/core"
+	"arbutusdock.example/arbutusdock/internal/ids"
+)
+
+// listMode selects what the platform's list of instances shows.
+type listMode uint8
+
+const (
+	listCurrent listMode = iota
+	listStale            // the first list, for ever
+	listWrong            // live instances as leaving or missing, dead ones as live
+)
+
+const (
+	readDelay = 3 * time.Millisecond
+	watchWait = 30 * time.Second
+)
+
+// platform is the fake configuration service. Documents have a global revision.
+type platform struct {
+	w         *world
+	documents []core.Published // in order of revision, all publications
+	down      bool
+	staleAt   ids.Revision // serves the state of this revision; 0: current
+	published []publication
+	waiting   []*read
+}
+
+// publication is an accepted document and when it was published.
+type publication struct {
+	revision ids.Revision
+	at       ids.Time
+	checked  bool
+}
+
+// read is a pending read or watch of an instance.
+type read struct {
+	n     *node
+	run   ids.Incarnation
+	after ids.Revision
+	done  bool
+}
+
+func (p *platform) revision() ids.Revision {
+	if p.staleAt != 0 {
+		return p.staleAt
+	}
+	return ids.Revision(len(p.documents))
+}
+
+// publish adds a document; good tells whether instances should accept it.
+func (p *platform) publish(key, value string, good bool) ids.Revision {
+	r := ids.Revision(len(p.documents) + 1)
+	p.documents = append(p.documents, core.Published{Key: key, Revision: r, Value: []byte(value)})
+	if good {
+		p.published = append(p.published, publication{revision: r, at: p.w.now})
+	}
+	p.w.reach("published", nil, nil)
+	waiting := p.waiting
+	p.waiting = nil
+	for _, r := range waiting {
+		p.w.after(time.Millisecond, func() { p.answer(r) })
+	}
+	return r
+}
+
+func (p *platform) cutOff(n *node) bool {
+	return p.w.cut[[2]string{string(n.id), platformID}] || p.w.cut[[2]string{platformID, string(n.id)}]
+}
+
+func (p *platform) read(n *node, after ids.Revision, watch bool) {
+	r := &read{n: n, run: n.run, after: after}
+	if n.state() == "joining" {
+		p.w.reach("join reads platform", n, nil)
+	}
+	if p.down || p.cutOff(n) {
+		p.w.after(500*time.Millisecond, func() { p.fail(r) })
+		return
+	}
+	if watch && p.revision() <= after {
+		p.waiting = append(p.waiting, r)
+		p.w.after(watchWait, func() { p.answer(r) })
+		return
+	}
+	p.w.after(readDelay, func() { p.answer(r) })
+}
+
+func (p *platform) fail(r *read) {
+	if !r.done && r.n.run == r.run {
+		r.done = true
+		p.w.call(r.n, func(c *core.Core, out *core.Effects) {
+			c.Config(r.n.now(), &core.ConfigEvent{Err: errors.New("platform unreachable")}, out)
+		})
+	}
+}
+
+func (p *platform) answer(r *read) {
+	if r.done || r.n.run != r.run {
+		return
+	}
+	if p.down || p.cutOff(r.n) {
+		p.w.after(500*time.Millisecond, func() { p.fail(r) })
+		return
+	}
+	r.done = true
+	e := &core.ConfigEvent{Upto: p.revision()}
+	latest := map[string]int{}
+	for _, d := range p.documents[:e.Upto] {
+		if d.Revision <= r.after {
+			continue
+		}
+		if i, ok := latest[d.Key]; ok { // only the latest value of a key
+			e.Documents = append(e.Documents[:i], e.Documents[i+1:]...)
+			for k, j := range latest {
+				if j > i {
+					latest[k] = j - 1
+				}
+			}
+		}
+		latest[d.Key] = len(e.Documents)
+		e.Documents = append(e.Documents, d)
+	}
+	p.w.call(r.n, func(c *core.Core, out *core.Effects) { c.Config(r.n.now(), e, out) })
+}
+
+// services are the services of the model.
+var services = []ids.Service{"counter", "alarm"}
+
+func profileText(weight, deadline int) string {
+	return fmt.Sprintf("[spread]\nslow_start_ms = 200\n[protect]\ndeadline_ms = %d\nqueue_time_ms = 1000\nretry_ratio = 1.0\n"+
+		"idempotent = [\"GET\"]\n[[partner]]\nname = \"p0\"\nweight = %d\nhosts = [\"p0\"]\n[[partner]]\nname = \"p1\"\nweight = 1\nhosts = [\"p1\"]\n",
+		deadline, weight)
+}
+
+// serviceText is the document of a service with the current drains.
+func (w *world) serviceText(s ids.Service) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "port = 5683\nprofile = \"p-%s\"\n", s)
+	for _, v := range w.servers {
+		if v.service == s {
+			fmt.Fprintf(&b, "[[target]]\nname = %q\ndata_centre = %q\naddress = %q\nslots = 2\nhealth = \"http://%s/health\"\ndraining = %v\n",
+				v.target, v.dc, v.at, v.at, v.drainDocument)
+		}
+	}
+	return b.String()
+}
+
+func (w *world) publishAll() {
+	for _, s := range services {
+		w.platform.publish("profile/p-"+string(s), profileText(1, 4000), true)
+		w.platform.publish("service/"+string(s), w.serviceText(s), true)
+	}
+}
+
+// sendLists sends each instance the platform's list.
+func (w *world) sendLists() {
+	if w.platform.down {
+		return
+	}
+	for i, n := range w.nodes {
+		e := &core.InstancesEvent{}
+		for k, o := range w.nodes {
+			entry := core.ListedInstance{ID: o.id, DataCentre: o.dc, PeerAddr: o.addr(), Leaving: o.stopped}
+			if w.listMode == listWrong {
+				if (i+k)%3 == 0 {
+					continue
+				}
+				entry.Leaving = o.alive
+			} else if w.listMode == listCurrent && !o.alive && w.now.Sub(o.leaving) > 10*time.Second {
+				continue
+			}
+			e.Instances = append(e.Instances, entry)
+		}
+		if !w.platform.cutOff(n) {
+			w.call(n, func(c *core.Core, out *core.Effects) { c.Instances(n.now(), e, out) })
+		}
+	}
+}
