core, daemon: benchmarks of the path, and make bench

Change: make bench runs the decision benchmarks (now with ns for each decision), FeedMemory (200,000 established feeds), DatagramsPerCore (processor time through an instance minus straight to the backend server) and AddedLatency (pairs of requests through the instance and straight, at half of the rate reached in the same run).

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build test lint demo bench fuzz matrix experiment
+.PHONY: build test lint demo bench capacity fuzz matrix experiment
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -18,3 +18,15 @@
 
 experiment:
 	$(GO) run ./cmd/experiment --out docs/experiments
+
+# The path of a datagram and the core: decisions at 15 and at 29,000 targets,
+# latency added at half load, datagrams a second for one core, memory of feeds.
+bench:
+	$(GO) test ./internal/core -run '^$$' -bench 'Request|Grant|Admit|Relay|Tick' -benchtime 300ms
+	$(GO) test ./internal/core -run '^$$' -bench FeedMemory -benchtime 1x
+	$(GO) test ./internal/daemon -run '^$$' -bench 'AddedLatency|DatagramsPerCore|ServiceSockets' -benchtime 2x
+	$(GO) test ./internal/daemon -run '^$$' -bench 'SocketPath' -benchtime 500ms
+
+# Slopes and the figures at the target size. Ends by itself in at most 4 minutes.
+capacity:
+	$(GO) run ./cmd/capacity --out docs/capacity --cores $(or $(CORES),2)
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -79,6 +79,12 @@
 	x.c.Backend(x.now, &BackendEvent{From: x.from, Message: &x.sent}, &x.out)
 }
 
+// decisions reports the time of one call of the core; perOp is the number of
+// calls in an operation.
+func decisions(b *testing.B, perOp int) {
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*perOp), "ns/decision")
+}
+
 func eachSize(b *testing.B, run func(b *testing.B, x *bench)) {
 	for _, size := range sizes {
 		b.Run(size.name, func(b *testing.B) { run(b, newBench(b, size.targets, size.services, size.instances)) })
@@ -94,6 +100,7 @@
 			x.call(e)
 			x.respond()
 		}
+		decisions(b, 2)
 		assert.Assert(b, x.c.counts.Answered > 0 && x.c.counts.Refused == 0)
 	})
 }
@@ -106,6 +113,7 @@
 		for b.Loop() {
 			x.call(e)
 		}
+		decisions(b, 1)
 		assert.Assert(b, x.c.counts.Minted > 0)
 	})
 }
@@ -147,6 +155,7 @@
 		for b.Loop() {
 			run()
 		}
+		decisions(b, 2)
 		assert.Assert(b, x.c.counts.Admitted > 0 && x.c.counts.Answered == x.c.counts.Admitted)
 	})
 }
@@ -163,6 +172,7 @@
 			x.s.peers[0].free, x.s.peers[0].heard = 10, x.now
 			x.call(e)
 		}
+		decisions(b, 1)
 		assert.Assert(b, x.c.counts.Relayed > 0)
 	})
 }
