admission: limits of the table as settings

Cause: the admission table held at most 65,536 entries for 300 s, so an instance that admits more than 218 requests a second told further callers to come back, whatever memory it had.

Change: admission.max_entries and admission.max_bytes in the settings, with the former constants as defaults.

Result, TestLimits: of 300,000 admissions at 1,000 a second, 65,536 were admitted with the default limits, as before, and all with max_entries = 300000.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -171,3 +171,24 @@
 		k.Parse(dst[:], "counter")
 	}
 }
+
+// Guards against limits that are not applied: at 1,000 admissions a second the
+// default table is full after 65 s.
+func TestLimits(t *testing.T) {
+	const rate, seconds = 1000, 300
+	admitted := func(tab *Table) (n int) {
+		for i := range rate * seconds {
+			now := 1000*second + ids.Time(i)*second/rate
+			tok := Token{KeyID: 1, Incarnation: 7, IssuedMS: uint64(now / 1e6), Nonce: Nonce{byte(i), byte(i >> 8), byte(i >> 16)}}
+			if _, d := tab.Admit(now, tok, 1); d == Admit {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Equal(t, admitted(NewTable(7)), MaxEntries)
+	tab := NewTable(7)
+	tab.SetLimits(Limits{Entries: rate * seconds, Bytes: MaxBytes})
+	assert.Equal(t, admitted(tab), rate*seconds)
+	assert.Assert(t, tab.Crowded())
+}
--- a/internal/admission/table.go
+++ b/internal/admission/table.go
@@ -20,12 +20,22 @@
 	// in the future could outlive its entry.
 	MaxSkew = 30 * time.Second
 
-	// MaxEntries and MaxBytes bound the memory of a table: 300 s of 218
-	// admissions a second, three times the new flows per node of the target size.
+	// MaxEntries and MaxBytes are the default Limits: 300 s of 218 admissions a
+	// second, three times the new flows per node of the target size.
 	MaxEntries = 1 << 16
 	MaxBytes   = 24 << 20
 )
 
+// Limits bound the memory of a table. An instance that admits n requests a
+// second needs 300 n entries, of about 240 B without the response.
+type Limits struct {
+	Entries int
+	Bytes   int // of stored responses
+}
+
+// DefaultLimits suit the target size of docs/design.md.
+var DefaultLimits = Limits{MaxEntries, MaxBytes}
+
 // State is the state of an admitted request.
 type State uint8
 
@@ -81,6 +91,7 @@
 // KnownFor, nothing has run under it.
 type Table struct {
 	self    ids.Incarnation
+	limits  Limits
 	closed  bool
 	entries map[ID]*Entry
 	order   []*Entry // ring in order of entry
@@ -91,11 +102,14 @@
 	moved   map[ids.Incarnation]*moved
 }
 
-// NewTable returns the table of incarnation self.
+// NewTable returns the table of incarnation self with the default limits.
 func NewTable(self ids.Incarnation) *Table {
-	return &Table{self: self, entries: make(map[ID]*Entry), moved: make(map[ids.Incarnation]*moved)}
+	return &Table{self: self, limits: DefaultLimits, entries: make(map[ID]*Entry), moved: make(map[ids.Incarnation]*moved)}
 }
 
+// SetLimits replaces the limits. Entries above a lower limit stay.
+func (t *Table) SetLimits(l Limits) { t.limits = l }
+
 // Len returns the number of entries.
 func (t *Table) Len() int { return t.length }
 
@@ -104,7 +118,7 @@
 
 // Crowded reports whether no further tokens that name this table should be
 // minted: the rest is kept for the tokens that have been.
-func (t *Table) Crowded() bool { return t.closed || t.length > MaxEntries/10*9 }
+func (t *Table) Crowded() bool { return t.closed || t.length > t.limits.Entries/10*9 }
 
 // Answers reports whether this table decides for incarnation i.
 func (t *Table) Answers(i ids.Incarnation) bool {
@@ -136,7 +150,7 @@
 		return nil, OutcomeUnknown
 	case age > FreshFor || !open:
 		return nil, NotRun
-	case t.length >= MaxEntries:
+	case t.length >= t.limits.Entries:
 		// "Not run" would be wrong if the same datagram came again after an
 		// eviction, so nothing is said.
 		return nil, OutcomeUnknown
@@ -169,7 +183,7 @@
 	if s != Answered {
 		return
 	}
-	if t.bytes+len(response) > MaxBytes {
+	if t.bytes+len(response) > t.limits.Bytes {
 		e.State = Unknown
 		return
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,7 +33,8 @@
 	DataCentre  ids.DataCentre
 	PeerAddr    string // IP:port of the link listener
 	Seeds       []member.Seed
-	Linger      time.Duration // time for which late datagrams are relayed after a planned stop
+	Linger      time.Duration    // time for which late datagrams are relayed after a planned stop
+	Admissions  admission.Limits // the default limits when zero
 }
 
 // Core is the decision logic of one instance. It belongs to one goroutine. Its
@@ -130,6 +131,9 @@
 	}
 	c.nonces = rand.NewChaCha8(key)
 	c.routes = c.table
+	if self.Admissions != (admission.Limits{}) {
+		c.admissions.SetLimits(self.Admissions)
+	}
 	c.tokenHigh = uint64(c.rng.Uint32()) << 32
 	c.nextID = uint16(c.rng.Uint32())
 	c.trace = c.rng.Uint64()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -111,6 +111,7 @@
 		Incarnation: ids.Incarnation(d.clock.now()),
 		DataCentre:  s.DataCentre,
 		Linger:      s.Linger,
+		Admissions:  admission.Limits{Entries: s.Admission.MaxEntries, Bytes: s.Admission.MaxBytes},
 	}
 	if err := d.openTrace(stdout, stderr); err != nil {
 		return nil, err
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,8 +51,10 @@
 // Admission names the key files of admission tokens. All keys verify; the key
 // with the id Sign signs.
 type Admission struct {
-	Sign uint8
-	Keys []AdmissionKey
+	Sign       uint8
+	Keys       []AdmissionKey
+	MaxEntries int // requests remembered for 300 s
+	MaxBytes   int // of their responses
 }
 
 // AdmissionKey is one admission key file.
@@ -165,6 +167,8 @@
 
 func parseAdmission(r *reader, s *Settings) {
 	s.Admission.Sign = uint8(r.integer("admission.signing_key", required, 0, 255))
+	s.Admission.MaxEntries = int(r.integer("admission.max_entries", 1<<16, 1<<10, 1<<24))
+	s.Admission.MaxBytes = int(r.integer("admission.max_bytes", 24<<20, 1<<20, 1<<33))
 	seen := map[uint8]bool{}
 	for _, at := range r.tables("admission.key") {
 		k := AdmissionKey{ID: uint8(r.integer(at+".id", required, 0, 255)), File: r.text(at + ".file")}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -23,6 +23,8 @@
 	assert.Equal(t, minimal.PeerAdvertise, minimal.PeerListen)
 	assert.Equal(t, minimal.PlatformURL, "http://127.0.0.1:7300")
 	assert.Equal(t, minimal.Link.ControlBudget, 2048)
+	assert.Equal(t, minimal.Admission.MaxEntries, full.Admission.MaxEntries)
+	assert.Equal(t, minimal.Admission.MaxBytes, full.Admission.MaxBytes)
 	assert.Equal(t, minimal.Linger, 3*time.Second)
 	assert.DeepEqual(t, minimal.Rings, full.Rings)
 }
