capacity: measure slopes and compute the target size

Change: cmd/capacity (make capacity) measures state, processor time, control bytes, platform reads and the delay of configuration changes over four or more sizes each, with the real cores joined by links with the byte budget on a virtual clock, fits a line to each, names curves that are not lines, and writes slopes.csv, slopes.md and target.md.

--- /dev/null
+++ b/cmd/capacity/main.go
@@ -0,0 +1,87 @@
+// Command capacity measures how the costs of an instance grow and writes the
+// slopes, and the figures that they give at the target size.
+package main
+
+import (
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/capacity"
+	"github.com/alexflint/go-arg"
+	"github.com/rotisserie/eris"
+)
+
+// memoryLimit is where the garbage collector begins to work harder; the run
+// needs about a tenth of it.
+const memoryLimit = 6 << 30
+
+type arguments struct {
+	Out   string        `arg:"--out" default:"docs/capacity" help:"directory for the tables"`
+	Cores int           `arg:"--cores" default:"2" help:"GOMAXPROCS"`
+	Limit time.Duration `arg:"--limit" default:"3m20s" help:"no measurement begins after this time"`
+	Only  []string      `arg:"--only,separate" help:"start of the name of a measure to run, printed and not written; all when absent"`
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	if err := run(&args); err != nil {
+		slog.Error("capacity failed", "error", err)
+		os.Exit(1)
+	}
+}
+
+func run(args *arguments) error {
+	runtime.GOMAXPROCS(max(args.Cores, 1))
+	debug.SetMemoryLimit(memoryLimit)
+	measures := capacity.All()
+	if len(args.Only) > 0 {
+		measures = selected(measures, args.Only)
+		return capacity.WriteSlopes(os.Stdout, capacity.RunAll(measures, args.Limit))
+	}
+	results := capacity.RunAll(measures, args.Limit)
+	if err := os.MkdirAll(args.Out, 0o755); err != nil {
+		return eris.Wrap(err, "create output directory")
+	}
+	if err := write(filepath.Join(args.Out, "slopes.csv"), results, capacity.WriteCSV); err != nil {
+		return err
+	}
+	if err := write(filepath.Join(args.Out, "slopes.md"), results, capacity.WriteSlopes); err != nil {
+		return err
+	}
+	if err := write(filepath.Join(args.Out, "target.md"), results, capacity.WriteTarget); err != nil {
+		return err
+	}
+	return capacity.WriteTarget(os.Stdout, results)
+}
+
+func selected(measures []capacity.Measure, prefixes []string) []capacity.Measure {
+	var list []capacity.Measure
+	for _, m := range measures {
+		for _, p := range prefixes {
+			if strings.HasPrefix(m.Name, p) {
+				list = append(list, m)
+				break
+			}
+		}
+	}
+	return list
+}
+
+func write(path string, results []capacity.Result, to func(io.Writer, []capacity.Result) error) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return eris.Wrap(err, "create table")
+	}
+	if err := to(f, results); err != nil {
+		f.Close()
+		return eris.Wrapf(err, "write %s", path)
+	}
+	return eris.Wrapf(f.Close(), "close %s", path)
+}
--- /dev/null
+++ b/internal/capacity/fleetslopes.go
@@ -0,0 +1,189 @@
+package capacity
+
+import (
+	"slices"
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/core"
+	"arbutusdock.example/arbutusdock/internal/ids"
+)
+
+const (
+	fleetServices = 20
+	fleetTargets  = 4
+	hourChanges   = 15_000 / 24
+	// changeGap is the mean time between two of 15,000 changes a day.
+	changeGap  = 24 * time.Hour / 15_000
+	forceLimit = 60 * time.Second // a change that takes longer counts as this
+	coldLimit  = 180 * time.Second
+)
+
+func fleetMeasures() []Measure {
+	instances := []float64{5, 20, 50, 200, 500}
+	outcomes := map[float64]fleetOutcome{}
+	outcome := func(x float64) fleetOutcome { // one run serves several measures
+		if _, ok := outcomes[x]; !ok {
+			outcomes[x] = runFleet(int(x), fleetTargets, 4)
+		}
+		return outcomes[x]
+	}
+	healed := map[float64][2]float64{}
+	heal := func(x float64) [2]float64 {
+		if _, ok := healed[x]; !ok {
+			healed[x] = catchUp(int(x))
+		}
+		return healed[x]
+	}
+	return []Measure{
+		{Name: "peer-bytes-instances", Unit: "B/s", Over: "instances", Sizes: instances,
+			Run: func(x float64) float64 { return outcome(x).bytes }, Note: "control bytes an instance sends at rest, framing included"},
+		{Name: "in-force-daily", Unit: "s", Over: "instances", Sizes: instances,
+			Run: func(x float64) float64 { return outcome(x).daily }, Note: "greatest time until one change of 15,000 a day is in force at all"},
+		{Name: "in-force-burst", Unit: "s", Over: "instances", Sizes: instances,
+			Run: func(x float64) float64 { return outcome(x).burst }, Note: "time from the last of 10 changes in a second until all are in force at all"},
+		{Name: "reads-instances", Unit: "reads/s", Over: "instances", Sizes: instances,
+			Run: func(x float64) float64 { return outcome(x).reads }, Note: "of documents by one data centre at rest over 60 s; the list of instances adds 0.1/s each"},
+		{Name: "peer-bytes-targets", Unit: "B/s", Over: "targets", Sizes: []float64{80, 320, 1280, 4000},
+			Run: func(x float64) float64 { return runFleet(10, int(x)/fleetServices, 0).bytes }, Note: "the same with 10 instances"},
+		{Name: "peer-bytes-change", Unit: "B", Over: "changes", Sizes: []float64{4, 8, 16, 32},
+			Run: func(x float64) float64 { return runFleet(50, fleetTargets, int(x)).changeBytes }, Note: "sent by one of 50 instances beyond its bytes at rest"},
+		{Name: "reads-change", Unit: "reads", Over: "changes", Sizes: []float64{4, 8, 16, 32},
+			Run: func(x float64) float64 { return float64(runFleet(50, fleetTargets, int(x)).changeReads) }, Note: "of documents by one data centre"},
+		{Name: "cold-start", Unit: "s", Over: "instances", Sizes: []float64{5, 10, 20, 40},
+			Run: func(x float64) float64 { return coldStart(int(x), controlRate) }, Note: "until all know all as serving, 2,048 B/s each, 180 s at most"},
+		{Name: "heal-seconds", Unit: "s", Over: "instances", Sizes: []float64{5, 10, 20, 30},
+			Run: func(x float64) float64 { return heal(x)[0] }, Note: "after a partition from the platform, until 625 changes are in force at all, 180 s at most"},
+		{Name: "heal-reads", Unit: "reads/s", Over: "instances", Sizes: []float64{5, 10, 20, 30},
+			Run: func(x float64) float64 { return heal(x)[1] }, Note: "in the busiest second of the same, one data centre"},
+		{Name: "cold-start-16k", Unit: "s", Over: "instances", Sizes: []float64{20, 40, 80, 160},
+			Run: func(x float64) float64 { return coldStart(int(x), 8*controlRate) }, Note: "the same with 16 KB/s each"},
+	}
+}
+
+// catchUp parts a data centre from the platform, publishes an hour of changes,
+// ends the partition, and returns the seconds until they are in force at every
+// instance and the reads of the platform in the busiest second.
+func catchUp(instances int) [2]float64 {
+	f := newFleet(instances, hourChanges, fleetTargets, controlRate)
+	f.warm()
+	f.down = true
+	f.endWatches(f.now.Add(watchWait))
+	f.run(2 * time.Second)
+	var last ids.Revision
+	for i := range hourChanges {
+		last = f.publish("service/"+string(serviceName(i)), serviceDocument(i, fleetTargets, "dc0", int(f.revision)))
+	}
+	f.run(90 * time.Second) // the time between attempts reaches its maximum
+	f.down = false
+	begin, most := f.now, 0
+	for f.now.Sub(begin) < coldLimit {
+		before := f.reads
+		f.run(time.Second)
+		most = max(most, f.reads-before)
+		if f.reached(last) {
+			break
+		}
+	}
+	return [2]float64{f.now.Sub(begin).Seconds(), float64(most)}
+}
+
+// reached reports whether revision r is in force at every instance.
+func (f *fleet) reached(r ids.Revision) bool {
+	return !slices.ContainsFunc(f.nodes, func(n *fleetNode) bool { return n.core.Revision() < r })
+}
+
+// fleetOutcome is what one run of a fleet shows.
+type fleetOutcome struct {
+	bytes, reads float64 // each second at rest: sent by one instance, by all
+	daily, burst float64 // seconds
+	changeBytes  float64 // sent by one instance for all daily changes
+	changeReads  int
+	dropped      int
+}
+
+// runFleet measures a warm data centre at rest, then changes at the daily rate,
+// then a burst. Without changes it ends after the rest.
+func runFleet(instances, targets, changes int) fleetOutcome {
+	f := newFleet(instances, fleetServices, targets, controlRate)
+	f.warm()
+	if !f.agreed() {
+		f.run(20 * time.Second)
+	}
+	if !f.agreed() {
+		panic("capacity: the instances of a warm fleet do not agree")
+	}
+	var o fleetOutcome
+	rest := 10 * time.Second
+	f.bytes = 0
+	f.run(rest)
+	o.bytes = f.bytes / rest.Seconds() / float64(instances)
+	if changes == 0 {
+		return o
+	}
+	f.bytes, f.reads = 0, 0
+	begin := f.now
+	for i := range changes {
+		next := f.now.Add(changeGap)
+		r := f.change(i)
+		o.daily = max(o.daily, f.await(r))
+		f.run(next.Sub(f.now))
+	}
+	o.changeBytes = f.bytes/float64(instances) - o.bytes*f.now.Sub(begin).Seconds()
+	o.changeReads = f.reads
+	var last ids.Revision
+	for i := range 10 {
+		last = f.change(i)
+		f.run(100 * time.Millisecond)
+	}
+	o.burst = f.await(last) + 0.1
+	f.reads = 0
+	f.run(60 * time.Second)
+	o.reads = float64(f.reads) / 60
+	o.dropped = f.dropped
+	return o
+}
+
+// change publishes a new version of service i.
+func (f *fleet) change(i int) ids.Revision {
+	i %= fleetServices
+	return f.publish("service/"+string(serviceName(i)), serviceDocument(i, fleetTargets, "dc0", int(f.revision)))
+}
+
+// await returns the seconds until revision r is in force at every instance.
+func (f *fleet) await(r ids.Revision) float64 {
+	begin := f.now
+	for waiting := f.nodes; f.now.Sub(begin) < forceLimit; f.run(tickEvery) {
+		var left []*fleetNode
+		for _, n := range waiting {
+			if n.core.Revision() < r {
+				left = append(left, n)
+			}
+		}
+		if waiting = left; len(waiting) == 0 {
+			break
+		}
+	}
+	return f.now.Sub(begin).Seconds()
+}
+
+// coldStart starts all instances at once, with one seed list, and returns the
+// seconds until they agree.
+func coldStart(instances, rate int) float64 {
+	f := newFleet(instances, fleetServices, fleetTargets, rate)
+	f.limit()
+	var seeds []core.ListedInstance
+	for i := range instances {
+		m := memberRecord(i, 0, 0)
+		seeds = append(seeds, core.ListedInstance{ID: m.ID, DataCentre: m.DataCentre, PeerAddr: m.PeerAddr})
+	}
+	for _, n := range f.nodes {
+		f.call(n, func(out *core.Effects) { n.core.Instances(f.now, &core.InstancesEvent{Instances: seeds}, out) })
+	}
+	for f.now.Sub(epoch) < coldLimit {
+		f.run(500 * time.Millisecond)
+		if f.agreed() {
+			break
+		}
+	}
+	return f.now.Sub(epoch).Seconds()
+}
--- /dev/null
+++ b/internal/capacity/links.go
@@ -0,0 +1,133 @@
+package capacity
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
+	"arbutusdock.example/arbutusdock/internal/keys"
+	"arbutusdock.example/arbutusdock/internal/link"
+	"arbutusdock.example/arbutusdock/internal/peerwire"
+	"arbutusdock.example/arbutusdock/internal/telemetry"
+)
+
+func linkMeasures() []Measure {
+	return []Measure{
+		{Name: "memory-peer", Unit: "B", Over: "connections", Sizes: []float64{8, 16, 32, 64}, Run: linkMemory,
+			Note: "both ends of one data lane over TLS; a peer at one instance takes half"},
+		{Name: "processor-peer-message", Unit: "µs", Over: "peer messages", Sizes: []float64{5_000, 10_000, 20_000, 40_000},
+			Run: linkProcessor, Note: "relay of 128 B over TLS, both ends together"},
+	}
+}
+
+// links is a hub with a link manager and others that it sends to.
+type links struct {
+	dir      string
+	ca       *keys.CA
+	mu       sync.Mutex
+	book     map[ids.Instance]string
+	managers []*link.Manager
+	received atomic.Int64
+}
+
+func newLinks() *links {
+	dir, err := os.MkdirTemp("", "capacity")
+	check(err)
+	l := &links{dir: dir, book: map[ids.Instance]string{}}
+	l.ca, err = keys.CreateCA(dir, "fleet", time.Hour)
+	check(err)
+	return l
+}
+
+// check panics on an error of the loopback or the temporary directory, without
+// which nothing can be measured.
+func check(err error) {
+	if err != nil {
+		panic(fmt.Sprint("capacity: ", err))
+	}
+}
+
+func (l *links) start(id ids.Instance) *link.Manager {
+	check(l.ca.Issue(l.dir, id, time.Hour))
+	credentials, err := link.LoadCredentials(id, filepath.Join(l.dir, "ca.crt"),
+		filepath.Join(l.dir, string(id)+".crt"), filepath.Join(l.dir, string(id)+".key"))
+	check(err)
+	m := link.New(link.Config{Self: id, Credentials: credentials, Budget: 1 << 20, Queue: 1024, DataIdle: time.Minute,
+		Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewRegistry(),
+		Address: func(id ids.Instance) (string, bool) {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			a, ok := l.book[id]
+			return a, ok
+		},
+		Receive: func(*peerwire.Message) { l.received.Add(1) }})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	check(err)
+	l.mu.Lock()
+	l.book[id] = listener.Addr().String()
+	l.mu.Unlock()
+	go func() { _ = m.Serve(listener) }()
+	l.managers = append(l.managers, m)
+	return m
+}
+
+func (l *links) close() {
+	for _, m := range l.managers {
+		m.Close()
+	}
+	_ = os.RemoveAll(l.dir)
+}
+
+// await waits until count messages have arrived, at most 10 s.
+func (l *links) await(count int64) {
+	for end := time.Now().Add(10 * time.Second); l.received.Load() < count; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			panic(fmt.Sprintf("capacity: %d of %d peer messages arrived", l.received.Load(), count))
+		}
+	}
+}
+
+func relay() *peerwire.Message {
+	return &peerwire.Message{From: "hub", Relay: &peerwire.Relay{Service: "s", Caller: "127.0.0.1:1", Datagram: make([]byte, 128), Hops: 1}}
+}
+
+func linkMemory(x float64) float64 {
+	l := newLinks()
+	defer l.close()
+	hub := l.start("hub")
+	for i := range int(x) {
+		l.start(instanceName(i))
+	}
+	return retained(func() any {
+		for i := range int(x) {
+			hub.Send(instanceName(i), relay())
+		}
+		l.await(int64(x))
+		time.Sleep(100 * time.Millisecond) // handshake goroutines end
+		return hub
+	})
+}
+
+func linkProcessor(x float64) float64 {
+	l := newLinks()
+	defer l.close()
+	hub := l.start("hub")
+	l.start("peer")
+	hub.Send("peer", relay())
+	l.await(1)
+	return processor(func() {
+		want := l.received.Load() + int64(x)
+		for range int(x) {
+			for !hub.Send("peer", relay()) { // the queue is full
+				time.Sleep(200 * time.Microsecond)
+			}
+		}
+		l.await(want)
+	})
+}
--- /dev/null
+++ b/internal/capacity/node.go
@@ -0,0 +1,217 @@
+package capacity
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/admission"
+	"arbutusdock.example/arbutusdock/internal/core"
+	"arbutusdock.example/arbutusdock/internal/ids"
+	"arbutusdock.example/arbutusdock/internal/message"
+	"arbutusdock.example/arbutusdock/internal/peerwire"
+)
+
+const (
+	epoch     ids.Time = 1_700_000_000_000_000_000
+	tickEvery          = 10 * time.Millisecond
+	gap                = 20 * time.Microsecond // between two events of a node
+)
+
+const profileText = `
+[spread]
+long_share = 0.6
+long_factor = 8.0
+slow_start_ms = 100
+[protect]
+deadline_ms = 5000
+queue_time_ms = 1000
+queue_length = 200
+retry_ratio = 0.1
+max_feeds = 100000
+idempotent = ["GET"]
+retry_after_min_ms = 1000
+retry_after_max_ms = %d
+`
+
+func profile(version int) []byte { return fmt.Appendf(nil, profileText, 8000+version%1000) }
+
+// serviceDocument is service i with targets in data centre dc.
+func serviceDocument(i, targets int, dc ids.DataCentre, version int) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "port = %d\nprofile = \"standard\"\n", 5000+version%1000)
+	for k := range targets {
+		fmt.Fprintf(&b, "[[target]]\nname = \"backend-%d\"\ndata_centre = %q\naddress = \"10.%d.%d.%d:5683\"\n"+
+			"health = \"http://10.%d.%d.%d:8080/health\"\n", k, dc, i/250, i%250, k%250+1, i/250, i%250, k%250+1)
+	}
+	return []byte(b.String())
+}
+
+func serviceName(i int) ids.Service { return ids.Service(fmt.Sprintf("s%04d", i)) }
+
+func instanceName(i int) ids.Instance { return ids.Instance(fmt.Sprintf("entry-%04d", i)) }
+
+func memberRecord(i int, state peerwire.Lifecycle, counter uint32) peerwire.Member {
+	return peerwire.Member{ID: instanceName(i), Incarnation: ids.Incarnation(i + 1), Counter: counter,
+		DataCentre: "dc0", PeerAddr: fmt.Sprintf("10.200.%d.%d:7000", i/250, i%250), Lifecycle: state}
+}
+
+func newCore(i int) *core.Core {
+	keys, err := admission.NewKeyring(1, map[uint8][]byte{1: []byte("0123456789abcdef")})
+	if err != nil {
+		panic(err) // the key is a constant
+	}
+	m := memberRecord(i, 0, 0)
+	return core.New(core.Self{ID: m.ID, Incarnation: m.Incarnation, DataCentre: m.DataCentre, PeerAddr: m.PeerAddr,
+		Linger: time.Second}, keys, 42)
+}
+
+// node is one core among members that serve and agree with it.
+type node struct {
+	core     *core.Core
+	now      ids.Time
+	ticked   ids.Time
+	out      core.Effects
+	revision ids.Revision
+	service  ids.Service // one of which the node owns a slot
+}
+
+// size of the surroundings of a node. One in dataCentres of the services has
+// its targets in the data centre of the node.
+type size struct{ members, services, targets, dataCentres int }
+
+func newNode(s size) *node {
+	n := &node{core: newCore(0), now: epoch}
+	n.tick()
+	delta := &peerwire.MemberDelta{}
+	for i := 1; i < s.members; i++ {
+		delta.Members = append(delta.Members, memberRecord(i, peerwire.Serving, 1))
+	}
+	if s.members > 1 {
+		n.peer(&peerwire.Message{From: instanceName(1), Incarnation: 2, MemberDelta: delta})
+	}
+	documents := []core.Published{{Key: "profile/standard", Revision: 1, Value: profile(0)}}
+	for i := range s.services {
+		dc := ids.DataCentre(fmt.Sprintf("dc%d", i%max(1, s.dataCentres)))
+		documents = append(documents, core.Published{Key: "service/" + string(serviceName(i)), Revision: ids.Revision(i + 2),
+			Value: serviceDocument(i, s.targets, dc, 0)})
+	}
+	n.config(documents)
+	for range 600 {
+		n.now = n.now.Add(tickEvery)
+		n.tick()
+	}
+	for _, state := range n.core.Snapshot().Services {
+		if state.Owned > 0 {
+			n.service = state.Service
+			break
+		}
+	}
+	return n
+}
+
+func (n *node) config(documents []core.Published) {
+	n.revision = max(n.revision, documents[len(documents)-1].Revision)
+	n.out.Reset()
+	n.core.Config(n.now, &core.ConfigEvent{Documents: documents, Upto: n.revision}, &n.out)
+	for i := range n.out.List {
+		if e := &n.out.List[i]; e.Event == "config-refused" {
+			panic("capacity: " + e.Detail)
+		}
+	}
+}
+
+func (n *node) peer(m *peerwire.Message) {
+	n.out.Reset()
+	n.core.Peer(n.now, &core.PeerEvent{Message: m}, &n.out)
+}
+
+// tick advances the core and answers as its neighbours and the platform do:
+// with the same view and configuration, so that nothing changes.
+func (n *node) tick() {
+	n.ticked = n.now
+	n.out.Reset()
+	n.core.Tick(n.now, &n.out)
+	var replies []*peerwire.Message
+	read := false
+	for i := range n.out.List {
+		e := &n.out.List[i]
+		switch {
+		case e.Kind == core.ToPeer && e.Peer.Heartbeat != nil:
+			h := *e.Peer.Heartbeat
+			h.Updates = nil
+			replies = append(replies, &peerwire.Message{From: e.Instance, Heartbeat: &h})
+		case e.Kind == core.WatchConfig && !e.Watch:
+			read = true
+		}
+	}
+	for _, m := range replies {
+		n.peer(m)
+	}
+	if read {
+		n.out.Reset()
+		n.core.Config(n.now, &core.ConfigEvent{Upto: n.revision}, &n.out)
+	}
+}
+
+// step advances the clock between two events, with the ticks that keep the
+// core from taking the time for a pause.
+func (n *node) step() {
+	n.now = n.now.Add(gap)
+	if n.now.Sub(n.ticked) > 500*time.Millisecond {
+		n.tick()
+	}
+}
+
+// datagram builds a request; observe makes it a registration.
+func datagram(observe bool) *message.Message {
+	o := &message.Outgoing{Type: message.Confirmable, Code: message.GET, ID: 1, Payload: make([]byte, 64),
+		Token: message.Token{Len: 4, Bytes: [8]byte{1, 2, 3, 4}}, SetObserve: observe}
+	raw, err := message.Encode(nil, o)
+	if err != nil {
+		panic(err) // the message is a constant
+	}
+	m := new(message.Message)
+	if err := message.Decode(raw, m); err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func callerAddress(i int) ids.Endpoint {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 5683)
+}
+
+// exchange sends m from a caller and lets the backend server respond at once.
+// It returns the number of calls of the core.
+func (n *node) exchange(m *message.Message, caller ids.Endpoint) int {
+	n.step()
+	n.out.Reset()
+	n.core.Caller(n.now, &core.CallerEvent{Service: n.service, Caller: caller, Message: m}, &n.out)
+	var from ids.Endpoint
+	reply := message.Message{Type: message.Acknowledgement, Code: message.Content, HasObserve: m.HasObserve, Observe: 1, MaxAge: 3600}
+	for i := range n.out.List {
+		if e := &n.out.List[i]; e.Kind == core.ToBackend {
+			from, reply.ID, reply.Token, reply.Raw = e.Endpoint, e.Out.ID, e.Out.Token, e.Out.Template
+		}
+	}
+	if !from.IsValid() {
+		return 1
+	}
+	n.out.Reset()
+	n.core.Backend(n.now, &core.BackendEvent{From: from, Message: &reply}, &n.out)
+	return 2
+}
+
+// openFeeds registers feeds until the node holds count of them. Callers whose
+// home is another instance are relayed and do not count.
+func (n *node) openFeeds(count int) {
+	m := datagram(true)
+	for i, open := 0, 0; open < count; i++ {
+		m.ID = uint16(i)
+		if n.exchange(m, callerAddress(i)) == 2 {
+			open++
+		}
+	}
+}
--- /dev/null
+++ b/internal/capacity/processor.go
@@ -0,0 +1,192 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/core"
+	"arbutusdock.example/arbutusdock/internal/message"
+	"arbutusdock.example/arbutusdock/internal/peerwire"
+)
+
+// target is the size of the surroundings of a node at the target size: the 500
+// instances of one data centre, all services and targets.
+var target = size{members: 500, services: 6800, targets: 4, dataCentres: 5}
+
+func processorMeasures() []Measure {
+	events := []float64{10_000, 20_000, 40_000, 80_000}
+	var shared *node
+	at := func() *node { // one node at the target size serves several measures
+		if shared == nil {
+			shared = newNode(target)
+		}
+		return shared
+	}
+	return []Measure{
+		{Name: "processor-datagram", Unit: "µs", Over: "datagrams", Sizes: events, Run: datagramProcessor,
+			Note: "socket read, decode, encode and socket write; both ends of the sockets in this process"},
+		{Name: "processor-decision", Unit: "µs", Over: "decisions", Sizes: events, Note: "at the target size",
+			Run: func(x float64) float64 { return exchangeProcessor(at(), int(x)) }},
+		{Name: "processor-heartbeat", Unit: "µs", Over: "heartbeats", Sizes: events, Note: "encode, decode and handle, 500 members",
+			Run: func(x float64) float64 { return heartbeatProcessor(at(), int(x)) }},
+		{Name: "processor-health", Unit: "µs", Over: "health samples", Sizes: events, Note: "handle one result in the core",
+			Run: func(x float64) float64 { return healthProcessor(at(), int(x)) }},
+		{Name: "processor-health-http", Unit: "µs", Over: "health checks", Sizes: []float64{500, 1000, 2000, 4000}, Run: healthHTTP,
+			Note: "one GET over an open connection with net/http, client and server in this process"},
+		{Name: "processor-change", Unit: "µs", Over: "configuration changes", Sizes: []float64{250, 500, 1000, 2000},
+			Note: "parse and apply one service of 4 targets among 6,800",
+			Run:  func(x float64) float64 { return changeProcessor(at(), int(x)) }},
+		{Name: "processor-profile", Unit: "µs", Over: "services that use the profile", Sizes: []float64{850, 1700, 3400, 6800},
+			Run: profileProcessor, Note: "one change of a profile used by all services; blocks the core once"},
+		{Name: "processor-tick", Unit: "µs", Over: "ticks", Sizes: []float64{1000, 2000, 4000, 8000},
+			Note: "at the target size, heartbeats sent and received included",
+			Run:  func(x float64) float64 { return tickProcessor(at(), int(x)) }},
+		{Name: "processor-tick-flows", Unit: "µs", Over: "open flows", Sizes: []float64{3500, 7000, 14_000, 28_000},
+			Run: func(x float64) float64 {
+				n := newNode(size{1, 1, 15, 1})
+				n.openFeeds(int(x))
+				return tickProcessor(n, 500) / 500
+			}, Note: "one tick"},
+	}
+}
+
+func datagramProcessor(x float64) float64 {
+	loop := net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}
+	a, errA := net.ListenUDP("udp4", &loop)
+	b, errB := net.ListenUDP("udp4", &loop)
+	if errA != nil || errB != nil {
+		panic(fmt.Sprint("capacity: open loopback sockets: ", errA, errB))
+	}
+	defer a.Close()
+	defer b.Close()
+	to := b.LocalAddr().(*net.UDPAddr).AddrPort()
+	raw, buffer, out := datagram(false).Raw, make([]byte, 2048), make([]byte, 0, 2048)
+	var m message.Message
+	return processor(func() {
+		for range int(x) {
+			if _, err := a.WriteToUDPAddrPort(raw, to); err != nil {
+				panic(err)
+			}
+			n, _, err := b.ReadFromUDPAddrPort(buffer)
+			if err == nil {
+				err = message.Decode(buffer[:n], &m)
+			}
+			if err == nil {
+				out, err = message.Encode(out[:0], &message.Outgoing{Template: m.Raw, Type: m.Type, ID: m.ID + 1, Token: m.Token, DeadlineMS: 300})
+			}
+			if err != nil {
+				panic(err)
+			}
+		}
+	})
+}
+
+func exchangeProcessor(n *node, decisions int) float64 {
+	m := datagram(false)
+	caller := callerAddress(1)
+	return processor(func() {
+		for done := 0; done < decisions; {
+			m.ID++
+			done += n.exchange(m, caller)
+		}
+	})
+}
+
+func heartbeatProcessor(n *node, count int) float64 {
+	n.tick()
+	var h *peerwire.Message
+	for h == nil { // a heartbeat of the node, as one of a peer that agrees with it
+		n.now = n.now.Add(tickEvery)
+		n.out.Reset()
+		n.core.Tick(n.now, &n.out)
+		n.ticked = n.now
+		for i := range n.out.List {
+			if e := &n.out.List[i]; e.Kind == core.ToPeer && e.Peer.Heartbeat != nil {
+				copied := *e.Peer.Heartbeat
+				copied.Updates = nil
+				h = &peerwire.Message{From: e.Instance, Heartbeat: &copied}
+			}
+		}
+	}
+	var raw []byte
+	return processor(func() {
+		for range count {
+			n.step()
+			h.Heartbeat.Clock = n.now
+			raw, _ = peerwire.Encode(raw[:0], h)
+			var got peerwire.Message
+			if err := peerwire.Decode(raw, &got); err != nil {
+				panic(err)
+			}
+			n.peer(&got)
+		}
+	})
+}
+
+func healthProcessor(n *node, count int) float64 {
+	e := &core.HealthEvent{Service: n.service, Target: "backend-0", Healthy: true, Load: 0.5, Took: time.Millisecond}
+	return processor(func() {
+		for range count {
+			n.step()
+			n.out.Reset()
+			n.core.Health(n.now, e, &n.out)
+		}
+	})
+}
+
+func healthHTTP(x float64) float64 {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"status":"ok","load":0.5}`)
+	}))
+	defer server.Close()
+	client := server.Client()
+	return processor(func() {
+		for range int(x) {
+			r, err := client.Get(server.URL)
+			if err != nil {
+				panic(err)
+			}
+			var body struct{ Status string }
+			if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+				panic(err)
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			_ = r.Body.Close()
+		}
+	})
+}
+
+func changeProcessor(n *node, count int) float64 {
+	return processor(func() {
+		for range count {
+			n.step()
+			n.revision++
+			n.config([]core.Published{{Key: "service/s0003", Revision: n.revision, Value: serviceDocument(3, 4, "dc3", int(n.revision))}})
+		}
+	})
+}
+
+func profileProcessor(x float64) float64 {
+	n := newNode(size{members: 500, services: int(x), targets: 4, dataCentres: 5})
+	defer runtime.KeepAlive(n)
+	return processor(func() {
+		n.step()
+		n.revision++
+		n.config([]core.Published{{Key: "profile/standard", Revision: n.revision, Value: profile(int(n.revision))}})
+	})
+}
+
+func tickProcessor(n *node, count int) float64 {
+	return processor(func() {
+		for range count {
+			n.now = n.now.Add(tickEvery)
+			n.tick()
+		}
+	})
+}
