--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,8 +51,10 @@
 // Admission names the key files of admission tokens. All keys verify; the key
 // with the id Sign signs.
 type Admission struct {
-	Sign uint8
-	Keys []AdmissionKey
+	Sign       uint8
+	Keys       []AdmissionKey
+	MaxEntries int // requests remembered for 300 s
+	MaxBytes   int // of their responses
 }
 
 // AdmissionKey is one admission key file.
@@ -64,6 +66,7 @@
 // Link tunes the links to other instances.
 type Link struct {
 	ControlBudget int           // bytes a second that control messages may use
+	StartBytes    int           // control bytes beyond that rate after the start
 	DataIdle      time.Duration // a data link without messages for this long is closed
 	Queue         int           // messages waiting for one link and lane
 }
@@ -165,6 +168,8 @@
 
 func parseAdmission(r *reader, s *Settings) {
 	s.Admission.Sign = uint8(r.integer("admission.signing_key", required, 0, 255))
+	s.Admission.MaxEntries = int(r.integer("admission.max_entries", 1<<16, 1<<10, 1<<24))
+	s.Admission.MaxBytes = int(r.integer("admission.max_bytes", 24<<20, 1<<20, 1<<33))
 	seen := map[uint8]bool{}
 	for _, at := range r.tables("admission.key") {
 		k := AdmissionKey{ID: uint8(r.integer(at+".id", required, 0, 255)), File: r.text(at + ".file")}
@@ -182,6 +187,7 @@
 func parseTuning(r *reader, s *Settings) {
 	s.Link = Link{
 		ControlBudget: int(r.integer("link.control_bytes_per_second", 2048, 256, 1<<20)),
+		StartBytes:    int(r.integer("link.start_bytes", 128<<10, 0, 1<<24)),
 		DataIdle:      r.duration("link.data_idle", time.Minute, time.Second, time.Hour),
 		Queue:         int(r.integer("link.queue", 1024, 16, 1<<16)),
 	}
