core: a joining instance does not answer for incarnations it does not know

Cause: an instance that has just started receives datagrams like any other, but its view is empty until a peer has answered. It told callers whose token names a live instance "outcome unknown", although their requests had not run.

Change: until the view is synced such a request is dropped and counted (Unsynced); the caller's retransmission reaches an instance that knows.

--- a/internal/core/caller.go
+++ b/internal/core/caller.go
@@ -5,6 +5,7 @@
 	"arbutusdock.example/arbutusdock/internal/flow"
 	"arbutusdock.example/arbutusdock/internal/ids"
 	"arbutusdock.example/arbutusdock/internal/message"
+	"arbutusdock.example/arbutusdock/internal/peerwire"
 	"arbutusdock.example/arbutusdock/internal/spread"
 )
 
@@ -250,6 +251,12 @@
 		c.admit(a, token)
 	default:
 		m, ok := c.view.Lookup(token.Incarnation)
+		if !ok && c.view.State() == peerwire.Joining && !c.view.Synced() {
+			// The incarnation may run: this instance does not know the others
+			// yet. The caller's retransmission reaches one that does.
+			c.counts.Unsynced++
+			return
+		}
 		if !ok || m.ID == c.self.ID || a.hops >= maxHops {
 			c.unknown(&a.exchange)
 			return
--- a/internal/core/once_test.go
+++ b/internal/core/once_test.go
@@ -212,3 +212,21 @@
 		assert.Equal(t, w.issuer(w.grant(0, callerN(n), post(3, "x"))), 1)
 	}
 }
+
+// Guards against "outcome unknown" for a request that has not run, from an
+// instance that joins and does not know the other instances yet.
+func TestJoiningInstanceDoesNotAnswerForOthers(t *testing.T) {
+	w := newWorld(t, 3, resolved("s", 6))
+	d := post(7, "claim")
+	d.echo = w.grant(0, callerA, d)
+	owner := w.issuer(d.echo)
+	joining := (owner + 1) % 3
+	w.add(3, joining, resolved("s", 6), 9)
+	w.reset()
+	w.send(joining, callerA, d)
+	assert.Equal(t, len(w.finals(callerA)), 0)
+	w.send(owner, callerA, d)
+	w.advance(50 * time.Millisecond)
+	code(t, w, message.Content)
+	assert.Equal(t, len(w.executions(message.POST)), 1)
+}
--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -20,7 +20,7 @@
 	LateResponses, LateAcks, OldNotifications       uint64
 	FeedsOpened, FeedsEnded, FeedsMoved             uint64
 	Notifications, Malformed, UnknownService        uint64
-	Pauses                                          uint64
+	Pauses, Unsynced                                uint64
 }
 
 // Snapshot is the state of an instance for the admin interface.
