core: look for a further target after a feed's refresh has failed

Cause: when a refresh showed that the backend server of a feed does not answer and the target that was to replace it failed as well, no further attempt was made until Max-Age + 5 s. Found by the fault matrix (backend killed twice).

Change: a failed refresh makes the feed count as quiet, so that it is replaced again 2 s after each failed attempt.

--- a/internal/core/feed.go
+++ b/internal/core/feed.go
@@ -266,6 +266,9 @@
 // that never had a notification ends when several targets have failed.
 func (c *Core) registrationFailed(f *flow.Feed, up *flow.Upstream, o spread.Outcome) {
 	if up == &f.Active {
+		// Until the next notification the feed counts as quiet, so that it is
+		// replaced again if the next target fails as well.
+		f.Heard, f.MaxAge = 0, 0
 		c.replace(f, true)
 		return
 	}
--- a/internal/core/feed_test.go
+++ b/internal/core/feed_test.go
@@ -234,3 +234,27 @@
 	assert.Assert(t, f.Active.Target != old.Target)
 	assert.Assert(t, len(w.finals(callerA)) > 1)
 }
+
+// Guards against a feed that waits for Max-Age when both its backend server and
+// the one that should replace it have failed: the caller's refresh has shown it.
+func TestFeedTriesFurtherTargets(t *testing.T) {
+	w := newWorld(t, 1, resolved("s", 4))
+	w.acks = true
+	home := w.register(0)
+	first := w.feed(home).Active.Target
+	second := ids.Target("")
+	w.serve = func(b received) *message.Outgoing {
+		if second == "" && b.target != first {
+			second = b.target
+		}
+		if b.target == first || b.target == second {
+			return nil
+		}
+		return &message.Outgoing{Type: message.Acknowledgement, Code: message.Content, ID: b.m.ID, Token: b.m.Token,
+			SetObserve: true, Observe: w.observeValue(), Payload: []byte("ok")}
+	}
+	w.send(0, callerA, observe(2)) // the refresh of a caller that misses notifications
+	w.advance(16 * time.Second)
+	up := w.feed(home).Active
+	assert.Assert(t, second != "" && up.Established && up.Target != first && up.Target != second, "%v", up.Target)
+}
