--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,7 @@
 # Slopes and the figures at the target size. Ends by itself in at most 4 minutes.
 capacity:
 	$(GO) run ./cmd/capacity --out docs/capacity --cores $(or $(CORES),2)
+
+matrix:
+	PROOF_MATRIX=$(CURDIR)/docs/matrix.txt $(GO) test ./internal/proof -run TestFaultMatrix -count=1
+	@cat docs/matrix.txt
