core: limit long requests over all owners of a service

Cause: with 4 targets each of 5 owners has one or two slots, and each could hold one long request, so long requests took 5 of 8 slots and left 3 to short ones. Each owner also had to run a request of every long path once as a short one, and short requests queued behind a long one in an owner's only slot.

Change: load reports carry the usable slots, the number of long requests and the run time of a newly known long request. While the limits of the owners add up to more than the part of all slots, an owner starts a long request only within that part, or after a quarter of the queue time without a start, so that lost reports or disagreeing lists do not make one starve. Changes of the number are reported at once. Queued requests that cannot start soon are relayed to a co-owner that can start them.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -32,7 +32,7 @@
 		c.grant(a, c.self.ID, c.self.Incarnation)
 		return
 	}
-	if p := c.freePeer(s); p != nil {
+	if p := c.freePeer(s, class); p != nil {
 		if run, ok := c.runs[p.id]; ok {
 			p.free--
 			c.grant(a, p.id, run)
--- a/internal/core/caller.go
+++ b/internal/core/caller.go
@@ -142,7 +142,7 @@
 		c.start(c.newRequest(a), class)
 		return
 	}
-	if to, ok := c.elsewhere(a); ok {
+	if to, ok := c.elsewhere(a, class); ok {
 		c.relay(a, to)
 		return
 	}
@@ -161,7 +161,7 @@
 		class = s.pool.Classify(r.key)
 	}
 	switch {
-	case c.accepting() && s.pool != nil && s.queues[class].Len() == 0 && s.pool.Free(class) > 0:
+	case c.accepting() && s.pool != nil && s.queues[class].Len() == 0 && c.mayStart(s, class):
 		c.start(r, class)
 	case c.accepting() && c.fits(s, class, r.partner):
 		c.enqueue(r, class)
@@ -176,16 +176,16 @@
 		return spread.Short, false
 	}
 	class := s.pool.Classify(s.runKey(a.m))
-	return class, c.accepting() && s.queues[class].Len() == 0 && s.pool.Free(class) > 0
+	return class, c.accepting() && s.queues[class].Len() == 0 && c.mayStart(s, class)
 }
 
 // elsewhere returns the instance to which a request that cannot start here is
 // relayed. A request that was relayed already only goes on to a free slot.
-func (c *Core) elsewhere(a *arrival) (ids.Instance, bool) {
+func (c *Core) elsewhere(a *arrival, class spread.Class) (ids.Instance, bool) {
 	if a.hops >= maxHops {
 		return "", false
 	}
-	if p := c.freePeer(a.svc); p != nil {
+	if p := c.freePeer(a.svc, class); p != nil {
 		return p.id, true
 	}
 	home, ok := c.home(a.svc, a.hash)
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -65,7 +65,7 @@
 	}
 	c.dispatchPinned(s)
 	for {
-		class, ok := s.next()
+		class, ok := c.next(s)
 		if !ok {
 			break
 		}
@@ -91,9 +91,9 @@
 // next returns the class whose turn it is. While both classes wait they get
 // equal slot time, within the cap on long requests that Free applies: neither
 // blocks the other.
-func (s *service) next() (spread.Class, bool) {
+func (c *Core) next(s *service) (spread.Class, bool) {
 	short := s.queues[spread.Short].Len() > 0 && s.pool.Free(spread.Short) > 0
-	long := s.queues[spread.Long].Len() > 0 && s.pool.Free(spread.Long) > 0
+	long := s.queues[spread.Long].Len() > 0 && c.mayStart(s, spread.Long)
 	if !short || !long {
 		if s.queues[spread.Short].Len() == 0 || s.queues[spread.Long].Len() == 0 {
 			s.turns = [2]time.Duration{}
@@ -167,7 +167,7 @@
 // startOrQueue starts a request that was accepted before.
 func (c *Core) startOrQueue(r *request) {
 	class := r.svc.pool.Classify(r.key)
-	if r.svc.queues[class].Len() == 0 && r.svc.pool.Free(class) > 0 {
+	if r.svc.queues[class].Len() == 0 && c.mayStart(r.svc, class) {
 		c.start(r, class)
 		return
 	}
@@ -184,6 +184,10 @@
 		s.budget.Attempt()
 	}
 	r.attempts++
+	if r.class == spread.Long {
+		s.longWaits = 0
+		c.tellLongs(s)
+	}
 	c.counts.Dispatched++
 	c.transmit(r)
 	c.span(Dispatched, s, r.trace, r.arrived)
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -100,10 +100,7 @@
 		if sent == tellPeers || !relays && (backlog == 0 || waits) {
 			continue
 		}
-		b := c.peer(s)
-		b.slotFree = peerwire.SlotFree{Service: s.name} // only carries the load
-		b.message.SlotFree = &b.slotFree
-		c.send(p.id, b)
+		c.reportLoad(s, p.id)
 		sent++
 	}
 	if sent > 0 {
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -51,6 +51,12 @@
 	busy     bool
 	lastWork ids.Time
 	told     ids.Time
+	// longWaits is the time since which long requests wait here and none has
+	// started; 0 when none waits.
+	longWaits ids.Time
+	longKey   uint64        // of a long request whose end is to be reported
+	longRun   time.Duration // its run time
+	toldLongs int           // long requests in the last report to all co-owners
 }
 
 // partner is a partner of the profile; index 0 takes all other callers.
@@ -64,6 +70,8 @@
 	id      ids.Instance
 	free    int
 	backlog int
+	slots   int // usable
+	longs   int // slots that long requests hold
 	refuse  bool
 	heard   ids.Time
 	relayed ids.Time // last relay from it
@@ -188,6 +196,8 @@
 		return false
 	}
 	*l = peerwire.Load{Service: s.name, Backlog: uint16(min(s.backlog(), 1<<16-1)), Refuse: !c.accepting()}
+	l.Slots, l.Long = uint16(s.pool.Usable()), uint16(s.pool.Longs())
+	l.LongKey, l.LongRun = s.longKey, uint32(s.longRun/time.Millisecond)
 	if c.accepting() {
 		l.Free = uint16(max(0, s.pool.Free(spread.Short)))
 		l.Refuse = l.Free == 0 && !c.fits(s, spread.Short, 0)
@@ -204,20 +214,28 @@
 	c.refresh(s)
 	if p := s.peer(from); p != nil {
 		p.free, p.backlog, p.refuse, p.heard = int(l.Free), int(l.Backlog), l.Refuse, c.now
+		p.slots, p.longs = int(l.Slots), int(l.Long)
+		if s.pool != nil {
+			s.pool.Adopt(l.LongKey, time.Duration(l.LongRun)*time.Millisecond)
+		}
 	}
 }
 
 // freePeer returns a co-owner that is believed to have a free slot, preferring
-// the one with the most.
-func (c *Core) freePeer(s *service) *peer {
+// the one with the most. For a long request it also has to be below its own
+// limit on long requests, and the owners together below theirs.
+func (c *Core) freePeer(s *service, class spread.Class) *peer {
 	n := len(s.peers)
-	if n == 0 {
+	if n == 0 || class == spread.Long && s.pool != nil && !c.longRoom(s) {
 		return nil
 	}
 	var best *peer
 	start := c.rng.IntN(n)
 	for i := range min(n, scanPeers) {
 		p := &s.peers[(start+i)%n]
+		if class == spread.Long && s.pool != nil && p.slots > 0 && p.longs >= s.pool.LongLimit(p.slots) {
+			continue
+		}
 		if p.free > 0 && c.now.Sub(p.heard) <= beliefFor && (best == nil || p.free > best.free) {
 			best = p
 		}
--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -138,7 +138,7 @@
 	if class == spread.Long {
 		x.Class = "long"
 	}
-	switch to, ok := c.elsewhere(&a); {
+	switch to, ok := c.elsewhere(&a, class); {
 	case free:
 		x.Instance, x.Action, x.Reason = c.self.ID, "start", "this instance owns a free slot"
 	case ok && to != x.Home:
--- a/internal/core/tick.go
+++ b/internal/core/tick.go
@@ -129,6 +129,10 @@
 			}
 		}
 		c.dispatch(s)
+		c.relayShort(s)
+		c.relayLong(s)
+		c.timeLongs(s)
+		c.tellLongs(s)
 		c.tellLoad(s)
 		if s.backlog() == 0 && len(s.pinned) == 0 && c.now.Sub(s.lastWork) > idleAfter {
 			s.busy = false
--- a/internal/peerwire/peerwire.go
+++ b/internal/peerwire/peerwire.go
@@ -44,9 +44,15 @@
 // Load is piggybacked on data messages: the sender's state for one service.
 type Load struct {
 	Service ids.Service `cbor:"1,keyasint"`
-	Free    uint16      `cbor:"2,keyasint"` // owned slots that are free
-	Backlog uint16      `cbor:"3,keyasint"` // queued requests
-	Refuse  bool        `cbor:"4,keyasint"` // a new request would be refused now
+	Free    uint16      `cbor:"2,keyasint"`           // owned slots that are free
+	Backlog uint16      `cbor:"3,keyasint"`           // queued requests
+	Refuse  bool        `cbor:"4,keyasint"`           // a new request would be refused now
+	Slots   uint16      `cbor:"5,keyasint,omitempty"` // usable owned slots
+	Long    uint16      `cbor:"6,keyasint,omitempty"` // owned slots that long requests hold
+	// LongKey is the predictor key of a long request that has just ended after
+	// LongRun ms; 0 in most reports.
+	LongKey uint64 `cbor:"7,keyasint,omitempty"`
+	LongRun uint32 `cbor:"8,keyasint,omitempty"`
 }
 
 // Lifecycle is the place of an instance in its life.
--- /dev/null
+++ b/internal/spread/adopt_test.go
@@ -0,0 +1,32 @@
+package spread
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a report of another owner that replaces own history, shifts
+// the median, or makes requests without a key long.
+func TestAdoptedRunTime(t *testing.T) {
+	p := newPredictor()
+	for range 20 {
+		p.learn(1, 10*time.Millisecond, Short, Success)
+	}
+	mid, total := p.mid, p.total
+	p.adopt(1, time.Second)
+	p.adopt(2, time.Second)
+	p.adopt(3, 0)
+	p.adopt(Unlearned, time.Second)
+	assert.Equal(t, p.classify(1), Short)
+	assert.Equal(t, p.classify(2), Long)
+	assert.Equal(t, p.classify(3), Short)
+	assert.Equal(t, p.classify(Unlearned), Short)
+	assert.Equal(t, p.mid, mid)
+	assert.Equal(t, p.total, total)
+	for range 20 { // own run times correct the adopted one
+		p.learn(2, 10*time.Millisecond, Short, Success)
+	}
+	assert.Equal(t, p.classify(2), Short)
+}
--- a/internal/spread/lease.go
+++ b/internal/spread/lease.go
@@ -21,7 +21,7 @@
 // as they may.
 func (p *Pool) Acquire(now ids.Time, c Class, avoid ids.Target) (l Lease, ok bool) {
 	p.now = now
-	if c == Long && p.longs >= p.longLimit() {
+	if c == Long && p.longs >= p.LongLimit(p.usable) {
 		return Lease{}, false
 	}
 	if c == Short && p.probes > 0 {
--- a/internal/spread/pool.go
+++ b/internal/spread/pool.go
@@ -309,17 +309,24 @@
 // Free returns the number of slots that a request of class c may take now.
 func (p *Pool) Free(c Class) int {
 	if c == Long {
-		return min(p.free, max(p.longLimit()-p.longs, 0))
+		return min(p.free, max(p.LongLimit(p.usable)-p.longs, 0))
 	}
 	return p.free + p.probes
 }
 
-// longLimit is the greatest number of slots that long requests hold.
-func (p *Pool) longLimit() int {
+// LongLimit is the greatest number of slots that long requests hold of a total
+// of slots.
+func (p *Pool) LongLimit(slots int) int {
 	share := cmp.Or(p.spread.LongShare, defaultLongShare)
-	return max(1, int(share*float64(p.usable)))
+	return max(1, int(share*float64(slots)))
 }
 
+// Usable returns the number of usable owned slots, free or not.
+func (p *Pool) Usable() int { return p.usable }
+
+// Longs returns the number of slots that long requests hold.
+func (p *Pool) Longs() int { return p.longs }
+
 // RunTime returns the mean run time of short requests.
 func (p *Pool) RunTime() time.Duration { return p.predictor.short() }
 
@@ -333,6 +340,11 @@
 // code and Uri-Path.
 func (p *Pool) Classify(key uint64) Class { return p.predictor.classify(key) }
 
+// Adopt takes over the run time of a long request that another owner reports,
+// so that one owner after the other does not first serve such a request as a
+// short one.
+func (p *Pool) Adopt(key uint64, run time.Duration) { p.predictor.adopt(key, run) }
+
 // Leaving reports whether target is draining, no longer part of the service or
 // not owned here. The health of a target that is not owned is not checked, so a
 // drain that only its health endpoint reports would go unnoticed, and no slot
--- a/internal/spread/predict.go
+++ b/internal/spread/predict.go
@@ -92,6 +92,15 @@
 	return 0
 }
 
+// adopt takes the run time of a request with a key that has no history here
+// from another owner.
+func (p *predictor) adopt(key uint64, run time.Duration) {
+	if key == Unlearned || run <= 0 || p.expected(key) > 0 {
+		return
+	}
+	p.find(key).mean = run
+}
+
 // learn takes the run time of a request into account. A timeout says as much
 // about a dead target as about the request: only a row of them without a
 // success makes the request long.
