core: keep the age of a queued request when it is relayed

Cause: an instance that took over a queued request started its deadline and the time of its empty ACK again, so that the ACK could come after the caller had retransmitted, and the deadline of the profile could pass. After an empty ACK from the first instance the second one sent the response in a second ACK.

Change: Relay carries the time spent in queues and whether an empty ACK was sent; the receiver counts both.

--- a/internal/core/caller.go
+++ b/internal/core/caller.go
@@ -1,10 +1,13 @@
 package core
 
 import (
+	"time"
+
 	"arbutusdock.example/arbutusdock/internal/admission"
 	"arbutusdock.example/arbutusdock/internal/flow"
 	"arbutusdock.example/arbutusdock/internal/ids"
 	"arbutusdock.example/arbutusdock/internal/message"
+	"arbutusdock.example/arbutusdock/internal/peerwire"
 	"arbutusdock.example/arbutusdock/internal/spread"
 )
 
@@ -20,15 +23,19 @@
 		return
 	}
 	c.trace++
-	c.receive(s, e.Caller, e.Message, 0, c.trace)
+	c.receive(s, e.Caller, e.Message, c.trace, nil)
 }
 
-// receive handles a datagram of a caller that has been relayed hops times.
-func (c *Core) receive(s *service, caller ids.Endpoint, m *message.Message, hops uint8, trace uint64) {
+// receive handles a datagram of a caller; relay is nil unless another instance
+// has relayed it.
+func (c *Core) receive(s *service, caller ids.Endpoint, m *message.Message, trace uint64, relay *peerwire.Relay) {
 	c.refresh(s)
 	a := arrival{
 		exchange: exchange{svc: s, caller: caller, kind: m.Type, id: m.ID, token: m.Token},
-		m:        m, hash: ids.HashEndpoint(caller), hops: hops, trace: trace,
+		m:        m, hash: ids.HashEndpoint(caller), trace: trace,
+	}
+	if relay != nil {
+		a.hops, a.age, a.acked = max(1, relay.Hops), time.Duration(relay.AgeMS)*time.Millisecond, relay.Acked
 	}
 	switch {
 	case m.Code == message.Empty:
--- a/internal/core/long_test.go
+++ b/internal/core/long_test.go
@@ -153,3 +153,45 @@
 	w.advance(100 * time.Millisecond)
 	assert.Equal(t, len(w.finals(callerN(1))), 1)
 }
+
+// Guards against an empty ACK that comes after the caller has retransmitted, a
+// deadline that starts again, and a piggybacked response after an empty ACK,
+// when a queued request is relayed to another instance.
+func TestRelayKeepsTimesOfRequest(t *testing.T) {
+	for _, acked := range []bool{false, true} {
+		w := newLongWorld(t)
+		w.acks = false
+		owner, other := w.cores[0], w.cores[1]
+		w.call(0, func(c *Core, out *Effects) {
+			c.begin(w.now, out)
+			d := longGet(5000).encode(t)
+			s := c.services["s"]
+			a := arrival{exchange: exchange{svc: s, caller: callerA, id: d.ID, token: d.Token, acked: acked}, m: &d}
+			r := c.newRequest(&a)
+			r.arrived, r.deadline = r.arrived.Add(-1300*time.Millisecond), r.deadline.Add(-1300*time.Millisecond)
+			s.partners[r.partner].queued[r.class]++
+			c.handOn(r, other.self.ID)
+		})
+		assert.Equal(t, len(owner.live), 0)
+		w.advance(3 * time.Millisecond)
+		live := 0
+		for _, c := range w.cores {
+			for _, r := range c.live {
+				live++
+				assert.Equal(t, r.deadline.Sub(r.arrived), 4*time.Second)
+				assert.Assert(t, w.now.Sub(r.arrived) >= 1300*time.Millisecond)
+			}
+		}
+		assert.Equal(t, live, 1)
+		w.advance(300 * time.Millisecond)
+		acks := 0
+		for _, r := range w.replies {
+			if r.m.Code == message.Empty {
+				acks++
+			}
+		}
+		assert.Equal(t, acks, map[bool]int{false: 1, true: 0}[acked])
+		w.advance(400 * time.Millisecond)
+		assert.Equal(t, w.finals(callerA)[0].m.Type, message.Confirmable)
+	}
+}
--- a/internal/core/peer.go
+++ b/internal/core/peer.go
@@ -67,7 +67,7 @@
 		p.relayed = c.now
 		c.wake(s)
 	}
-	c.receive(s, caller, e.Relayed, max(1, r.Hops), trace)
+	c.receive(s, caller, e.Relayed, trace, r)
 }
 
 // ackRouted records where ACKs or follow-up blocks of a caller are relayed to.
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"time"
 
 	"arbutusdock.example/arbutusdock/internal/ids"
 	"arbutusdock.example/arbutusdock/internal/peerwire"
@@ -11,14 +12,16 @@
 // relay hands the datagram of a over to another instance, which responds to
 // the caller directly.
 func (c *Core) relay(a *arrival, to ids.Instance) {
-	c.forward(a.svc, a.caller, a.m.Raw, a.hops, a.trace, to)
+	c.forward(&a.exchange, a.m.Raw, a.age, a.hops, a.trace, to)
 }
 
-func (c *Core) forward(s *service, caller ids.Endpoint, datagram []byte, hops uint8, trace uint64, to ids.Instance) {
+func (c *Core) forward(x *exchange, datagram []byte, age time.Duration, hops uint8, trace uint64, to ids.Instance) {
+	s := x.svc
 	b := c.peer(s)
 	binary.BigEndian.PutUint64(b.trace[:], trace)
 	b.relay = peerwire.Relay{
-		Service: s.name, Caller: b.address(caller), Datagram: datagram, Hops: hops + 1, Trace: b.trace[:],
+		Service: s.name, Caller: b.address(x.caller), Datagram: datagram, Hops: hops + 1, Trace: b.trace[:],
+		AgeMS: uint32(age / time.Millisecond), Acked: x.acked,
 	}
 	b.message.Relay = &b.relay
 	if p := s.peer(to); p != nil && p.free > 0 {
@@ -77,7 +80,7 @@
 // handOn relays a request that was taken out of its queue.
 func (c *Core) handOn(r *request, to ids.Instance) {
 	r.svc.partners[r.partner].queued[r.class]--
-	c.forward(r.svc, r.caller, r.raw, r.hops, r.trace, to)
+	c.forward(&r.exchange, r.raw, c.now.Sub(r.arrived), r.hops, r.trace, to)
 	c.drop(r)
 }
 
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -24,8 +24,9 @@
 type arrival struct {
 	exchange
 	m     *message.Message
-	hash  uint64 // of the caller endpoint
-	hops  uint8  // relays so far
+	hash  uint64        // of the caller endpoint
+	hops  uint8         // relays so far
+	age   time.Duration // time spent in queues of other instances
 	trace uint64
 }
 
@@ -125,7 +126,7 @@
 		key: s.runKey(a.m), content: s.contentKey(a.m),
 		idempotent: s.idempotent&(1<<a.m.Code) != 0,
 		partner:    s.partnerOf(a.m.Host, a.caller),
-		arrived:    c.now, deadline: c.now.Add(s.config.Profile.Protect.Deadline),
+		arrived:    c.now.Add(-a.age), deadline: c.now.Add(s.config.Profile.Protect.Deadline - a.age),
 		trace: a.trace, index: len(c.live),
 	}
 	c.live = append(c.live, r)
--- a/internal/peerwire/peerwire.go
+++ b/internal/peerwire/peerwire.go
@@ -131,6 +131,8 @@
 	Datagram []byte      `cbor:"3,keyasint"`
 	Hops     uint8       `cbor:"4,keyasint"` // relays so far, this one included
 	Trace    []byte      `cbor:"5,keyasint,omitempty"`
+	AgeMS    uint32      `cbor:"6,keyasint,omitempty"` // time that the request has waited in queues
+	Acked    bool        `cbor:"7,keyasint,omitempty"` // an empty ACK was sent
 }
 
 // SlotFree tells that the sender has Count free slots of a service and no
