--- a/internal/core/caller.go
+++ b/internal/core/caller.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"arbutusdock.example/arbutusdock/internal/admission"
 	"arbutusdock.example/arbutusdock/internal/flow"
 	"arbutusdock.example/arbutusdock/internal/ids"
@@ -21,15 +23,19 @@
 		return
 	}
 	c.trace++
-	c.receive(s, e.Caller, e.Message, 0, c.trace)
+	c.receive(s, e.Caller, e.Message, c.trace, nil)
 }
 
-// receive handles a datagram of a caller that has been relayed hops times.
-func (c *Core) receive(s *service, caller ids.Endpoint, m *message.Message, hops uint8, trace uint64) {
+// receive handles a datagram of a caller; relay is nil unless another instance
+// has relayed it.
+func (c *Core) receive(s *service, caller ids.Endpoint, m *message.Message, trace uint64, relay *peerwire.Relay) {
 	c.refresh(s)
 	a := arrival{
 		exchange: exchange{svc: s, caller: caller, kind: m.Type, id: m.ID, token: m.Token},
-		m:        m, hash: ids.HashEndpoint(caller), hops: hops, trace: trace,
+		m:        m, hash: ids.HashEndpoint(caller), trace: trace,
+	}
+	if relay != nil {
+		a.hops, a.age, a.acked = max(1, relay.Hops), time.Duration(relay.AgeMS)*time.Millisecond, relay.Acked
 	}
 	switch {
 	case m.Code == message.Empty:
@@ -143,7 +149,7 @@
 		c.start(c.newRequest(a), class)
 		return
 	}
-	if to, ok := c.elsewhere(a); ok {
+	if to, ok := c.elsewhere(a, class); ok {
 		c.relay(a, to)
 		return
 	}
@@ -162,7 +168,7 @@
 		class = s.pool.Classify(r.key)
 	}
 	switch {
-	case c.accepting() && s.pool != nil && s.queues[class].Len() == 0 && s.pool.Free(class) > 0:
+	case c.accepting() && s.pool != nil && s.queues[class].Len() == 0 && c.mayStart(s, class):
 		c.start(r, class)
 	case c.accepting() && c.fits(s, class, r.partner):
 		c.enqueue(r, class)
@@ -177,16 +183,16 @@
 		return spread.Short, false
 	}
 	class := s.pool.Classify(s.runKey(a.m))
-	return class, c.accepting() && s.queues[class].Len() == 0 && s.pool.Free(class) > 0
+	return class, c.accepting() && s.queues[class].Len() == 0 && c.mayStart(s, class)
 }
 
 // elsewhere returns the instance to which a request that cannot start here is
 // relayed. A request that was relayed already only goes on to a free slot.
-func (c *Core) elsewhere(a *arrival) (ids.Instance, bool) {
+func (c *Core) elsewhere(a *arrival, class spread.Class) (ids.Instance, bool) {
 	if a.hops >= maxHops {
 		return "", false
 	}
-	if p := c.freePeer(a.svc); p != nil {
+	if p := c.freePeer(a.svc, class); p != nil {
 		return p.id, true
 	}
 	home, ok := c.home(a.svc, a.hash)
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -24,8 +24,9 @@
 type arrival struct {
 	exchange
 	m     *message.Message
-	hash  uint64 // of the caller endpoint
-	hops  uint8  // relays so far
+	hash  uint64        // of the caller endpoint
+	hops  uint8         // relays so far
+	age   time.Duration // time spent in queues of other instances
 	trace uint64
 }
 
@@ -125,7 +126,7 @@
 		key: s.runKey(a.m), content: s.contentKey(a.m),
 		idempotent: s.idempotent&(1<<a.m.Code) != 0,
 		partner:    s.partnerOf(a.m.Host, a.caller),
-		arrived:    c.now, deadline: c.now.Add(s.config.Profile.Protect.Deadline),
+		arrived:    c.now.Add(-a.age), deadline: c.now.Add(s.config.Profile.Protect.Deadline - a.age),
 		trace: a.trace, index: len(c.live),
 	}
 	c.live = append(c.live, r)
@@ -155,6 +156,10 @@
 		delete(c.exchanges, r.upID)
 	}
 	r.pool.Release(c.now, r.lease, r.key, o)
+	if s := r.svc; o == spread.Success && r.class == spread.Short && r.pool.Classify(r.key) == spread.Long {
+		s.longKey, s.longRun = r.key, c.now.Sub(r.dispatched)
+	}
+	c.tellLongs(r.svc)
 	if r.charged {
 		r.svc.queues[r.class].Charge(r.svc.partners[r.partner].Name, c.now.Sub(r.dispatched)-r.cost)
 		r.charged = false
