core, member, experiment: use the field's terms in names

Cause: names such as tellLoad, handOn, guest, hold and patience need an explanation; the model also counted a refusal that arrives late as no answer, as one timer did not check that the caller was waiting to return. Change: renames (reportLoads, forwardQueued, inboundPeer, suspicionBackoff, callerTimeout and others); the timer in internal/experiment checks waiting.

--- a/internal/core/backend.go
+++ b/internal/core/backend.go
@@ -215,8 +215,8 @@
 func (c *Core) checkInFlight(r *request) {
 	// Time is left for a second backend server. A long request may still be
 	// running then, so it gets no second one.
-	patience := time.Duration(attemptRuns * max(1, r.svc.config.Profile.Spread.LongFactor) * float64(r.pool.RunTime()))
-	attempt := min(r.deadline.Sub(r.arrived)/2, max(minAttempt, patience))
+	expected := time.Duration(attemptRuns * max(1, r.svc.config.Profile.Spread.LongFactor) * float64(r.pool.RunTime()))
+	attempt := min(r.deadline.Sub(r.arrived)/2, max(minAttempt, expected))
 	switch {
 	case c.now >= r.deadline:
 		c.counts.Timeouts++
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -186,7 +186,7 @@
 	r.attempts++
 	if r.class == spread.Long {
 		s.longWaits = 0
-		c.tellLongs(s)
+		c.reportLongs(s)
 	}
 	c.counts.Dispatched++
 	c.transmit(r)
--- a/internal/core/long.go
+++ b/internal/core/long.go
@@ -6,11 +6,11 @@
 	"arbutusdock.example/arbutusdock/internal/spread"
 )
 
-// longPatience is the part of the queue time, one in longPatience, after which
+// longOverdueDivisor is the part of the queue time, one in longOverdueDivisor, after which
 // a waiting long request may exceed the limit over all owners if none has
 // started here since. It bounds the wait when reports are lost or co-owners
 // hold the whole limit all the time.
-const longPatience = 4
+const longOverdueDivisor = 4
 
 // mayStart reports whether a request of class may take a slot here now.
 func (c *Core) mayStart(s *service, class spread.Class) bool {
@@ -20,7 +20,7 @@
 	if class == spread.Short {
 		return true
 	}
-	overdue := s.longWaits != 0 && c.now.Sub(s.longWaits) >= s.limiter.QueueTime/longPatience
+	overdue := s.longWaits != 0 && c.now.Sub(s.longWaits) >= s.limiter.QueueTime/longOverdueDivisor
 	return overdue || c.longRoom(s)
 }
 
@@ -46,7 +46,7 @@
 	}
 	longs := s.pool.Longs()
 	for i := range s.peers {
-		if p := &s.peers[i]; c.now.Sub(p.heard) <= beliefFor {
+		if p := &s.peers[i]; c.now.Sub(p.heard) <= loadReportTTL {
 			longs += p.longs
 		}
 	}
@@ -93,21 +93,21 @@
 		return true
 	}, func(r *request) {
 		p.longs++ // until the next report
-		c.handOn(r, p.id)
+		c.forwardQueued(r, p.id)
 	})
 }
 
-// tellLongs reports at once to all co-owners that the number of long requests
+// reportLongs reports at once to all co-owners that the number of long requests
 // here has changed while the limit over all owners applies, or that requests
 // with another key are long: an old number lets several owners exceed the
 // limit together.
-func (c *Core) tellLongs(s *service) {
+func (c *Core) reportLongs(s *service) {
 	if s.pool == nil || s.owned() == 0 || len(s.peers) > scanPeers {
 		s.longKey, s.longRun = 0, 0
 		return
 	}
 	longs := s.pool.Longs()
-	if longs == s.toldLongs && s.longKey == 0 {
+	if longs == s.reportedLongs && s.longKey == 0 {
 		return
 	}
 	if _, binds := s.sharedLongLimit(); binds || s.longKey != 0 {
@@ -115,7 +115,7 @@
 			c.reportLoad(s, s.peers[i].id)
 		}
 	}
-	s.toldLongs, s.longKey, s.longRun = longs, 0, 0
+	s.reportedLongs, s.longKey, s.longRun = longs, 0, 0
 }
 
 // reportLoad sends a message that only carries the load.
@@ -142,7 +142,7 @@
 	start := c.rng.IntN(n)
 	for i := range min(n, scanPeers) {
 		p := &s.peers[(start+i)%n]
-		if p.slots <= p.longs || p.refuse || c.now.Sub(p.heard) > beliefFor {
+		if p.slots <= p.longs || p.refuse || c.now.Sub(p.heard) > loadReportTTL {
 			continue
 		}
 		if best == nil || p.backlog*(best.slots-best.longs) < best.backlog*(p.slots-p.longs) {
@@ -164,6 +164,6 @@
 	}, func(r *request) {
 		p := c.shortPeer(s)
 		p.backlog++ // until the next report
-		c.handOn(r, p.id)
+		c.forwardQueued(r, p.id)
 	})
 }
--- a/internal/core/long_test.go
+++ b/internal/core/long_test.go
@@ -85,7 +85,7 @@
 		w.advance(5 * time.Millisecond)
 	}
 	most := 0
-	for range 150 { // less than the patience of 250 ms
+	for range 150 { // less than the expected of 250 ms
 		w.advance(time.Millisecond)
 		most = max(most, w.longs())
 	}
@@ -117,7 +117,7 @@
 		d := longGet(3000).encode(t)
 		c.enqueue(c.newRequest(&arrival{exchange: exchange{svc: s, caller: callerA, id: d.ID, token: d.Token}, m: &d}), spread.Long)
 	})
-	step := s.limiter.QueueTime / longPatience
+	step := s.limiter.QueueTime / longOverdueDivisor
 	for range step/time.Millisecond - 20 {
 		w.advance(time.Millisecond)
 		claim()
@@ -170,7 +170,7 @@
 			r := c.newRequest(&a)
 			r.arrived, r.deadline = r.arrived.Add(-1300*time.Millisecond), r.deadline.Add(-1300*time.Millisecond)
 			s.partners[r.partner].queued[r.class]++
-			c.handOn(r, other.self.ID)
+			c.forwardQueued(r, other.self.ID)
 		})
 		assert.Equal(t, len(owner.live), 0)
 		w.advance(3 * time.Millisecond)
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -45,7 +45,7 @@
 	var best *peer
 	for i := range s.peers {
 		p := &s.peers[i]
-		if p.backlog > 0 && c.now.Sub(p.heard) <= beliefFor && (best == nil || p.backlog > best.backlog) {
+		if p.backlog > 0 && c.now.Sub(p.heard) <= loadReportTTL && (best == nil || p.backlog > best.backlog) {
 			best = p
 		}
 	}
@@ -74,21 +74,21 @@
 		}
 		left--
 		return true
-	}, func(r *request) { c.handOn(r, from) })
+	}, func(r *request) { c.forwardQueued(r, from) })
 }
 
-// handOn relays a request that was taken out of its queue.
-func (c *Core) handOn(r *request, to ids.Instance) {
+// forwardQueued relays a request that was taken out of its queue.
+func (c *Core) forwardQueued(r *request, to ids.Instance) {
 	r.svc.partners[r.partner].queued[r.class]--
 	c.forward(&r.exchange, r.raw, c.now.Sub(r.arrived), r.hops, r.trace, to)
 	c.drop(r)
 }
 
-// tellLoad reports the load of this instance to instances that would otherwise
+// reportLoads reports the load of this instance to instances that would otherwise
 // rely on an old report: those that relay to it while it has no free slot, and
 // while requests wait some that may have free slots.
-func (c *Core) tellLoad(s *service) {
-	if c.now.Sub(s.told) < tellEvery || len(s.peers) == 0 || s.owned() == 0 {
+func (c *Core) reportLoads(s *service) {
+	if c.now.Sub(s.loadReported) < loadReportInterval || len(s.peers) == 0 || s.owned() == 0 {
 		return
 	}
 	free, backlog := s.pool.Free(spread.Short), s.backlog()
@@ -98,15 +98,15 @@
 	sent, start := 0, c.rng.IntN(len(s.peers))
 	for i := range min(len(s.peers), scanPeers) {
 		p := &s.peers[(start+i)%len(s.peers)]
-		relays := c.now.Sub(p.relayed) < 2*tellEvery && p.relayed != 0
-		waits := p.backlog > 0 && c.now.Sub(p.heard) <= beliefFor
-		if sent == tellPeers || !relays && (backlog == 0 || waits) {
+		relays := c.now.Sub(p.relayed) < 2*loadReportInterval && p.relayed != 0
+		waits := p.backlog > 0 && c.now.Sub(p.heard) <= loadReportTTL
+		if sent == maxLoadReports || !relays && (backlog == 0 || waits) {
 			continue
 		}
 		c.reportLoad(s, p.id)
 		sent++
 	}
 	if sent > 0 {
-		s.told = c.now
+		s.loadReported = c.now
 	}
 }
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -159,7 +159,7 @@
 	if s := r.svc; o == spread.Success && r.class == spread.Short && r.pool.Classify(r.key) == spread.Long {
 		s.longKey, s.longRun = r.key, c.now.Sub(r.dispatched)
 	}
-	c.tellLongs(r.svc)
+	c.reportLongs(r.svc)
 	if r.charged {
 		r.svc.queues[r.class].Charge(r.svc.partners[r.partner].Name, c.now.Sub(r.dispatched)-r.cost)
 		r.charged = false
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -14,13 +14,13 @@
 )
 
 const (
-	// beliefFor is the time for which the load that a peer reported is used.
+	// loadReportTTL is the time for which the load that a peer reported is used.
 	// Demand swings within seconds, so an older report says little.
-	beliefFor = 500 * time.Millisecond
-	// tellEvery bounds the load reports without a relay, which count as
-	// control traffic: 20 a second to each of at most tellPeers instances.
-	tellEvery = 50 * time.Millisecond
-	tellPeers = 2
+	loadReportTTL = 500 * time.Millisecond
+	// loadReportInterval bounds the load reports without a relay, which count as
+	// control traffic: 20 a second to each of at most maxLoadReports instances.
+	loadReportInterval = 50 * time.Millisecond
+	maxLoadReports     = 2
 	// scanPeers bounds the co-owners examined for one decision.
 	scanPeers = 8
 	// idleAfter is the time without work after which a tick skips a service.
@@ -45,18 +45,18 @@
 	pool       *spread.Pool
 	peers      []peer // other owners, sorted by id
 
-	queues   [2]share.Queue[*request] // by class
-	turns    [2]time.Duration         // slot time given to each class while both wait
-	pinned   []*request               // follow-up blocks that wait for their target
-	busy     bool
-	lastWork ids.Time
-	told     ids.Time
+	queues       [2]share.Queue[*request] // by class
+	turns        [2]time.Duration         // slot time given to each class while both wait
+	pinned       []*request               // follow-up blocks that wait for their target
+	busy         bool
+	lastWork     ids.Time
+	loadReported ids.Time
 	// longWaits is the time since which long requests wait here and none has
 	// started; 0 when none waits.
-	longWaits ids.Time
-	longKey   uint64        // of a long request whose end is to be reported
-	longRun   time.Duration // its run time
-	toldLongs int           // long requests in the last report to all co-owners
+	longWaits     ids.Time
+	longKey       uint64        // of a long request whose end is to be reported
+	longRun       time.Duration // its run time
+	reportedLongs int           // long requests in the last report to all co-owners
 }
 
 // partner is a partner of the profile; index 0 takes all other callers.
@@ -236,7 +236,7 @@
 		if class == spread.Long && s.pool != nil && p.slots > 0 && p.longs >= s.pool.LongLimit(p.slots) {
 			continue
 		}
-		if p.free > 0 && c.now.Sub(p.heard) <= beliefFor && (best == nil || p.free > best.free) {
+		if p.free > 0 && c.now.Sub(p.heard) <= loadReportTTL && (best == nil || p.free > best.free) {
 			best = p
 		}
 	}
@@ -246,7 +246,7 @@
 // refuses reports whether the instance id is believed to reject new requests.
 func (c *Core) refuses(s *service, id ids.Instance) bool {
 	p := s.peer(id)
-	return p != nil && p.refuse && c.now.Sub(p.heard) <= beliefFor
+	return p != nil && p.refuse && c.now.Sub(p.heard) <= loadReportTTL
 }
 
 // wake makes the ticks advance s.
--- a/internal/core/tick.go
+++ b/internal/core/tick.go
@@ -132,8 +132,8 @@
 		c.relayShort(s)
 		c.relayLong(s)
 		c.timeLongs(s)
-		c.tellLongs(s)
-		c.tellLoad(s)
+		c.reportLongs(s)
+		c.reportLoads(s)
 		if s.backlog() == 0 && len(s.pinned) == 0 && c.now.Sub(s.lastWork) > idleAfter {
 			s.busy = false
 			last := len(c.busy) - 1
@@ -152,7 +152,7 @@
 		s.queues[class].RemoveIf(func(*request) bool { return true }, func(r *request) {
 			home, ok := c.home(s, r.hash)
 			if ok && !s.removed && home != c.self.ID && !r.isAdmitted && r.attempts == 0 && r.hops < maxHops {
-				c.handOn(r, home)
+				c.forwardQueued(r, home)
 				return
 			}
 			c.rejectQueued(r)
--- a/internal/experiment/caller.go
+++ b/internal/experiment/caller.go
@@ -8,11 +8,11 @@
 
 // Times of a caller, RFC 7252 section 4.8.
 const (
-	ackTimeout     = 2 * time.Second
-	ackRandom      = 1.5
-	maxRetransmit  = 4
-	ackAfter       = 1500 * time.Millisecond // an instance acknowledges a request that takes longer
-	callerPatience = 4 * time.Second         // wait for the response after the acknowledgement, beyond the deadline
+	ackTimeout    = 2 * time.Second
+	ackRandom     = 1.5
+	maxRetransmit = 4
+	ackAfter      = 1500 * time.Millisecond // an instance acknowledges a request that takes longer
+	callerTimeout = 4 * time.Second         // wait for the response after the acknowledgement, beyond the deadline
 )
 
 // issue starts a new request of m.
@@ -59,8 +59,8 @@
 		}
 		if r.acked || r.repeats >= maxRetransmit {
 			// The response is separate; it is lost if the instance has died.
-			c.after(c.expiry(r).Sub(r.attempt)+callerPatience-timeout, func() {
-				if !r.settled && r.tries == try {
+			c.after(c.expiry(r).Sub(r.attempt)+callerTimeout-timeout, func() {
+				if !r.settled && !r.waiting && r.tries == try {
 					c.settle(r, failed)
 				}
 			})
--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -78,30 +78,30 @@
 
 // gossip is the part of a View that deals with its links.
 type gossip struct {
-	links          [maxLinks]link
-	linksStale     bool
-	alive          int // other members that are not gone
-	interval       intervals
-	changes        uint64 // sequence number of the last change
-	recent         []change
-	lastChange     ids.Time
-	urgent         bool // a change made here has not been sent
-	urgentRevision bool
-	budget         int // bytes that may be sent besides regular heartbeats
-	small          int // the same for heartbeats with changes
-	budgetAt       ids.Time
-	askAt          ids.Time // next request for a complete view
-	askGap         time.Duration
-	answerGap      time.Duration
-	partAt         ids.Time // last part of a view received before synced
-	awaiting       bool     // the last request has not been answered
-	sessions       []session
-	guests         []guest
-	holds          map[ids.Instance]hold
-	clocks         map[ids.Instance]*clock
-	probeAt        ids.Time
-	expireAt       ids.Time
-	forgetAt       ids.Time
+	links             [maxLinks]link
+	linksStale        bool
+	alive             int // other members that are not gone
+	interval          intervals
+	changes           uint64 // sequence number of the last change
+	recent            []change
+	lastChange        ids.Time
+	urgent            bool // a change made here has not been sent
+	urgentRevision    bool
+	budget            int // bytes that may be sent besides regular heartbeats
+	small             int // the same for heartbeats with changes
+	budgetAt          ids.Time
+	askAt             ids.Time // next request for a complete view
+	askGap            time.Duration
+	answerGap         time.Duration
+	partAt            ids.Time // last part of a view received before synced
+	awaiting          bool     // the last request has not been answered
+	sessions          []session
+	inbound           []inboundPeer
+	suspicionBackoffs map[ids.Instance]suspicionBackoff
+	clocks            map[ids.Instance]*clock
+	probeAt           ids.Time
+	expireAt          ids.Time
+	forgetAt          ids.Time
 }
 
 type change struct {
@@ -165,7 +165,7 @@
 	}
 	if i < 0 {
 		if h.Seq != answerSeq {
-			v.heardGuest(from)
+			v.heardInbound(from)
 		}
 		if !v.synced && h.Digest != v.digest32() {
 			v.askFull(from)
@@ -174,7 +174,7 @@
 	}
 	l := &v.links[i]
 	l.heardAt, l.heard = now, true
-	delete(v.holds, from)
+	delete(v.suspicionBackoffs, from)
 	v.compare(l, h.Digest)
 }
 
--- a/internal/member/tick.go
+++ b/internal/member/tick.go
@@ -18,29 +18,29 @@
 	probeAlone = 500 * time.Millisecond
 	// probesAlone is the number of seeds tried at a time by a lone instance.
 	probesAlone = 3
-	maxGuests   = 16
+	maxInbound  = 16
 	// answerSeq marks the answer to a heartbeat of an instance that is no
 	// neighbour. It is never answered, which ends the exchange.
 	answerSeq = 0
 	probeSeq  = 1
 	// A suspicion that was refuted while the link stayed silent shows that
-	// only the link is cut. It is not repeated before holdMin, doubling up to
-	// holdMax, so that a cut link does not move slots again and again; the
-	// other neighbours still detect a crash.
-	holdMin = 5 * time.Second
-	holdMax = time.Minute
+	// only the link is cut. It is not repeated before minSuspicionBackoff,
+	// doubling up to maxSuspicionBackoff, so that a cut link does not move slots
+	// again and again; the other neighbours still detect a crash.
+	minSuspicionBackoff = 5 * time.Second
+	maxSuspicionBackoff = time.Minute
 )
 
 type sender = func(to ids.Instance, m *peerwire.Message)
 
-// guest is a sender of heartbeats that is no neighbour in the own view.
-type guest struct {
+// inboundPeer is a sender of heartbeats that is no neighbour in the own view.
+type inboundPeer struct {
 	id     ids.Instance
 	sentAt ids.Time
 	due    bool
 }
 
-type hold struct {
+type suspicionBackoff struct {
 	until  ids.Time
 	length time.Duration
 }
@@ -62,7 +62,7 @@
 	for i := range v.links {
 		if l := &v.links[i]; l.id != "" {
 			v.repair(l, send)
-			v.beat(i, l, send)
+			v.serveLink(i, l, send)
 		}
 	}
 	v.urgent, v.urgentRevision = false, false
@@ -107,7 +107,7 @@
 		if l.id == "" || v.now.Sub(l.heardAt) < limit || v.now < l.graceUntil {
 			continue
 		}
-		if h, ok := v.holds[l.id]; ok && v.now < h.until {
+		if h, ok := v.suspicionBackoffs[l.id]; ok && v.now < h.until {
 			continue
 		}
 		if r := v.members[l.id]; r != nil {
@@ -123,17 +123,17 @@
 	if i < 0 || v.now.Sub(v.links[i].heardAt) < maxMissed*v.interval.expected(v.now) {
 		return
 	}
-	if v.holds == nil {
-		v.holds = map[ids.Instance]hold{}
+	if v.suspicionBackoffs == nil {
+		v.suspicionBackoffs = map[ids.Instance]suspicionBackoff{}
 	}
-	length := min(max(2*v.holds[id].length, holdMin), holdMax)
-	v.holds[id] = hold{v.now.Add(length), length}
+	length := min(max(2*v.suspicionBackoffs[id].length, minSuspicionBackoff), maxSuspicionBackoff)
+	v.suspicionBackoffs[id] = suspicionBackoff{v.now.Add(length), length}
 }
 
-// beat sends a heartbeat on link i when one is due or a few changes are
+// serveLink sends a heartbeat on link i when one is due or a few changes are
 // waiting, and many changes as a MemberDelta. The link drops a heartbeat that
 // exceeds its rate but queues a delta, so heartbeats are kept short and rare.
-func (v *View) beat(i int, l *link, send sender) {
+func (v *View) serveLink(i int, l *link, send sender) {
 	age := v.now.Sub(l.sentAt)
 	due := l.sent == 0 || age >= v.interval.sending(v.now)
 	if !due {
@@ -229,25 +229,25 @@
 		Seq: seq, Clock: v.now, Digest: v.digest32(), Revision: v.revision, Updates: updates}})
 }
 
-// heardGuest notes a heartbeat from an instance that is no neighbour here. It
+// heardInbound notes a heartbeat from an instance that is no neighbour here. It
 // gets one in return, since this instance may be a neighbour in its view.
-func (v *View) heardGuest(id ids.Instance) {
-	i := slices.IndexFunc(v.guests, func(g guest) bool { return g.id == id })
+func (v *View) heardInbound(id ids.Instance) {
+	i := slices.IndexFunc(v.inbound, func(g inboundPeer) bool { return g.id == id })
 	if i < 0 {
-		if len(v.guests) >= maxGuests {
-			v.guests = slices.Delete(v.guests, 0, 1)
+		if len(v.inbound) >= maxInbound {
+			v.inbound = slices.Delete(v.inbound, 0, 1)
 		}
-		v.guests = append(v.guests, guest{id: id})
-		i = len(v.guests) - 1
+		v.inbound = append(v.inbound, inboundPeer{id: id})
+		i = len(v.inbound) - 1
 	}
-	g := &v.guests[i]
+	g := &v.inbound[i]
 	g.due = g.sentAt == 0 || v.now.Sub(g.sentAt) >= intervalSmall/2
 }
 
-// answer replies to guests and to requests for records.
+// answer replies to inbound peers and to requests for records.
 func (v *View) answer(send sender) {
-	for i := range v.guests {
-		g := &v.guests[i]
+	for i := range v.inbound {
+		g := &v.inbound[i]
 		if !g.due || v.slot(g.id) >= 0 {
 			continue
 		}
