capacity: the page for the target size and the alternatives weighed

Cause: docs/design.md referred to docs/CAPACITY.md, which did not exist, and named no measured reasons for the choices at the target size.

--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -23,8 +23,10 @@
 
 type arguments struct {
 	Out   string        `arg:"--out" default:"docs/capacity" help:"directory for the tables"`
+	Page  string        `arg:"--page" default:"docs/CAPACITY.md" help:"page whose generated table is replaced"`
 	Cores int           `arg:"--cores" default:"2" help:"GOMAXPROCS"`
 	Limit time.Duration `arg:"--limit" default:"3m20s" help:"no measurement begins after this time"`
+	From  string        `arg:"--from" help:"slopes.csv of an earlier run: computes target.md again without measuring"`
 	Only  []string      `arg:"--only,separate" help:"start of the name of a measure to run, printed and not written; all when absent"`
 }
 
@@ -45,6 +47,9 @@
 		measures = selected(measures, args.Only)
 		return capacity.WriteSlopes(os.Stdout, capacity.RunAll(measures, args.Limit))
 	}
+	if args.From != "" {
+		return recompute(args)
+	}
 	results := capacity.RunAll(measures, args.Limit)
 	if err := os.MkdirAll(args.Out, 0o755); err != nil {
 		return eris.Wrap(err, "create output directory")
@@ -55,12 +60,40 @@
 	if err := write(filepath.Join(args.Out, "slopes.md"), results, capacity.WriteSlopes); err != nil {
 		return err
 	}
-	if err := write(filepath.Join(args.Out, "target.md"), results, capacity.WriteTarget); err != nil {
+	if err := target(args, results); err != nil {
 		return err
 	}
 	return capacity.WriteTarget(os.Stdout, results)
 }
 
+func recompute(args *arguments) error {
+	f, err := os.Open(args.From)
+	if err != nil {
+		return eris.Wrap(err, "open slopes")
+	}
+	defer f.Close()
+	results, err := capacity.ReadCSV(f)
+	if err != nil {
+		return err
+	}
+	return target(args, results)
+}
+
+// target writes the figures at the target size.
+func target(args *arguments, results []capacity.Result) error {
+	if err := write(filepath.Join(args.Out, "target.md"), results, capacity.WriteTarget); err != nil {
+		return err
+	}
+	page, err := os.ReadFile(args.Page)
+	if err != nil {
+		return eris.Wrap(err, "read page")
+	}
+	if page, err = capacity.UpdatePage(page, results); err != nil {
+		return err
+	}
+	return eris.Wrap(os.WriteFile(args.Page, page, 0o644), "write page")
+}
+
 func selected(measures []capacity.Measure, prefixes []string) []capacity.Measure {
 	var list []capacity.Measure
 	for _, m := range measures {
--- a/internal/capacity/fit_test.go
+++ b/internal/capacity/fit_test.go
@@ -42,3 +42,27 @@
 
 // noMeasure is the number of figures that are computed from constants only.
 const noMeasure = 3
+
+// Guards against a table of the target that cannot be computed again from the
+// slopes that were written.
+func TestReadsItsOwnTable(t *testing.T) {
+	m := &Measure{Name: "memory-flow", Unit: "B", Over: "open flows"}
+	written := []Result{{Measure: m, Fit: curve(func(x float64) float64 { return 10 * x }), Measured: true}}
+	var b strings.Builder
+	assert.NilError(t, WriteCSV(&b, written))
+	read, err := ReadCSV(strings.NewReader(b.String()))
+	assert.NilError(t, err)
+	assert.Equal(t, len(read), 1)
+	assert.DeepEqual(t, read[0].Points, written[0].Points)
+	assert.Assert(t, read[0].Measured && math.Abs(read[0].Slope-10) < 1e-9)
+}
+
+// Guards against a page whose text is lost when its table is replaced.
+func TestUpdatePageKeepsText(t *testing.T) {
+	page, err := UpdatePage([]byte("before\n"+beginMark+"old\n"+endMark+"after\n"), nil)
+	assert.NilError(t, err)
+	s := string(page)
+	assert.Assert(t, strings.HasPrefix(s, "before\n") && strings.HasSuffix(s, endMark+"after\n") && !strings.Contains(s, "old\n"))
+	_, err = UpdatePage([]byte("no marks"), nil)
+	assert.ErrorContains(t, err, "marks")
+}
--- a/internal/capacity/fleetslopes.go
+++ b/internal/capacity/fleetslopes.go
@@ -52,7 +52,7 @@
 			Run: func(x float64) float64 { return float64(runFleet(50, fleetTargets, int(x)).changeReads) }, Note: "of documents by one data centre"},
 		{Name: "cold-start", Unit: "s", Over: "instances", Sizes: []float64{5, 10, 20, 40},
 			Run: func(x float64) float64 { return coldStart(int(x), controlRate, 0) }, Note: "until all know all as serving, 2,048 B/s each without link.start_bytes, 180 s at most"},
-		{Name: "cold-start-grant", Unit: "s", Over: "instances", Sizes: []float64{20, 40, 80, 160},
+		{Name: "cold-start-grant", Unit: "s", Over: "instances", Sizes: []float64{40, 80, 160, 300},
 			Run: func(x float64) float64 { return coldStart(int(x), controlRate, startBytes) }, Note: "the same with 2,048 B/s and link.start_bytes"},
 		{Name: "heal-seconds", Unit: "s", Over: "instances", Sizes: []float64{5, 10, 20, 30},
 			Run: func(x float64) float64 { return heal(x)[0] }, Note: "after a partition from the platform, until 625 changes are in force at all, 180 s at most"},
--- a/internal/capacity/write.go
+++ b/internal/capacity/write.go
@@ -7,6 +7,8 @@
 	"math"
 	"strconv"
 	"strings"
+
+	"github.com/rotisserie/eris"
 )
 
 // WriteCSV writes every measured point and the fit of its curve.
@@ -26,6 +28,33 @@
 	return c.WriteAll(rows)
 }
 
+// ReadCSV returns the results that WriteCSV wrote, for the figures at the target.
+func ReadCSV(from io.Reader) ([]Result, error) {
+	rows, err := csv.NewReader(from).ReadAll()
+	if err != nil {
+		return nil, eris.Wrap(err, "read slopes")
+	}
+	var results []Result
+	for _, row := range rows[min(1, len(rows)):] {
+		x, errX := strconv.ParseFloat(row[3], 64)
+		y, errY := strconv.ParseFloat(row[4], 64)
+		if errX != nil || errY != nil {
+			return nil, eris.Errorf("read slopes: %s: size %q, value %q, must be numbers", row[0], row[3], row[4])
+		}
+		if n := len(results); n == 0 || results[n-1].Name != row[0] {
+			results = append(results, Result{Measure: &Measure{Name: row[0], Unit: row[1], Over: row[2]}})
+		}
+		r := &results[len(results)-1]
+		r.Points = append(r.Points, Point{x, y})
+	}
+	for i := range results {
+		if r := &results[i]; len(r.Points) >= 4 {
+			r.Fit, r.Measured = NewFit(r.Points), true
+		}
+	}
+	return results, nil
+}
+
 func (r *Result) shape() string {
 	switch {
 	case !r.Measured:
