--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -127,8 +127,8 @@
 	budgets = append(budgets, b.figure(Figure{"control memory of a node", budgetMemory, total - flows, "B",
 		"sum of the rows “memory” without flows, admissions and data links", "state of a flow and of a target only at its owners", false}))
 	b.missing = budgets[len(budgets)-1].missing
-	budgets = append(budgets, b.figure(Figure{"the same with the reserve of the garbage collector", budgetMemory, 2*(total-flows) - socketBytes*targetAddresses, "B",
-		"live heap × 2 (GOGC=100), sockets once since they are mostly stacks", "none yet: one wildcard socket with the destination address, services of other data centres kept as text", false}))
+	budgets = append(budgets, b.figure(Figure{"the same with the reserve of the garbage collector", budgetMemory, 2 * (total - flows), "B",
+		"live × 2 (GOGC=100; the pacer counts stacks as well)", "none yet: one wildcard socket with the destination address, services of other data centres kept as text", false}))
 	b.missing = budgets[len(budgets)-1].missing
 	budgets = append(budgets, b.figure(Figure{"memory of a node with its traffic", 0, total, "B", "sum of the rows “memory”", "as above", false}))
 	rest := b.at("peer-bytes-instances", targetInstances)
