--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 
 fuzz:
 	GO=$(GO) scripts/fuzz.sh
+
 # The path of a datagram and the core: decisions at 15 and at 29,000 targets,
 # latency added at half load, datagrams a second for one core, memory of feeds.
 bench:
