--- a/internal/proof/caller_test.go
+++ b/internal/proof/caller_test.go
@@ -101,6 +101,9 @@
 	i := len(w.operations)
 	op := &operation{w: w, index: i, kind: k, service: service, dc: dc, host: fmt.Sprintf("p%d", i%2),
 		caller: netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, byte(2 + i>>8), byte(i)}), uint16(4000+i))}
+	if w.host != "" {
+		op.host = w.host
+	}
 	w.operations = append(w.operations, op)
 	x := op.exchange()
 	if k == observe {
--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -113,7 +113,7 @@
 // recover restores the backend servers.
 func (w *world) recover() {
 	for _, v := range w.servers {
-		v.alive, v.silent, v.shedding, v.crossed, v.health = true, false, false, false, honest
+		v.alive, v.silent, v.shedding, v.crossed, v.failing, v.health = true, false, false, false, false, honest
 		v.runTime = 20 * time.Millisecond
 		v.drain(false)
 	}
--- a/internal/proof/matrix_test.go
+++ b/internal/proof/matrix_test.go
@@ -8,12 +8,17 @@
 	"text/tabwriter"
 	"time"
 
+	"arbutusdock.example/arbutusdock/internal/ids"
 	"arbutusdock.example/arbutusdock/internal/message"
 	"gotest.tools/v3/assert"
 )
 
 const (
 	faultTime = 20 * time.Second // after which the fault ends
+	// probeTime is the time before the end of a fault of a backend server from
+	// which requests reach other backend servers: a probe request may fail.
+	probeTime = 6 * time.Second
+	maxProbes = 3
 	// feedBound is the time in which a feed is back after an unplanned fault
 	// of its instance or backend server: the caller's patience and the next
 	// notification, and for each failed backend server a registration (three
@@ -126,7 +131,12 @@
 			w.newOperation([]kind{get, claim, download}[i%3], "counter", centres[i%2])
 		})
 	}
-	w.advance(faultTime)
+	w.advance(faultTime - probeTime)
+	if len(c.faults) == 1 && c.faults[0].uses == "backend" && subjects != nil {
+		c.probe(w, subjects[0].v.service)
+	} else {
+		w.advance(probeTime)
+	}
 	w.heal()
 	w.recover()
 	for _, n := range w.nodes {
@@ -137,6 +147,24 @@
 	c.judge(w, subjects, affected, planned)
 }
 
+// probe checks that requests reach other backend servers while one has a fault.
+func (c *cell) probe(w *world, service ids.Service) {
+	var list []*operation
+	for i := range 30 {
+		w.after(time.Duration(i)*probeTime/60, func() { list = append(list, w.newOperation(claim, service, "a")) })
+	}
+	w.advance(probeTime)
+	failed := 0
+	for _, op := range list {
+		if op.final != message.Content {
+			failed++
+		}
+	}
+	if failed > maxProbes {
+		w.violate("%d of 30 requests failed %v after the fault of a backend server", failed, faultTime-probeTime)
+	}
+}
+
 // judge applies the oracle and the bounds of the matrix.
 func (c *cell) judge(w *world, subjects []subject, affected map[*feed]bool, planned bool) {
 	if subjects == nil {
--- a/internal/proof/random_test.go
+++ b/internal/proof/random_test.go
@@ -166,7 +166,7 @@
 			"backend": func(rt *rapid.T) {
 				v := m.server(rt)
 				m.loosen()
-				switch any("fault", 0, 1, 2, 3, 4, 5, 6, 7) {
+				switch any("fault", 0, 1, 2, 3, 4, 5, 6, 7, 8) {
 				case 0:
 					v.kill()
 				case 1:
@@ -177,6 +177,8 @@
 					v.silent = !v.silent
 				case 4:
 					v.crossed = !v.crossed
+				case 8:
+					v.failing = !v.failing
 				case 5:
 					v.runTime = time.Duration(any("run", 5, 100, 1500)) * time.Millisecond
 				default:
--- a/internal/proof/server_test.go
+++ b/internal/proof/server_test.go
@@ -43,6 +43,7 @@
 	health        healthMode
 	shedding      bool
 	silent        bool // runs requests, responds to none
+	failing       bool // runs requests and answers with RST
 	crossed       bool // swaps message ids and repeats old responses
 	runTime       time.Duration
 	jobs          map[jobKey]*job
@@ -181,6 +182,10 @@
 	if v.silent {
 		return
 	}
+	if v.failing {
+		v.w.after(v.runTime, func() { v.respond(n, j, &message.Outgoing{Type: message.Reset, ID: j.m.ID}) })
+		return
+	}
 	if j.x.op.kind == download && j.x.block < lastBlock {
 		o.Template = []byte{0x60, byte(message.Content), 0, 0, 0xd1, 10, byte(j.x.block)<<4 | 8 | 2}
 	}
--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -119,6 +119,7 @@
 	exchanges          []*exchange
 	operations         []*operation
 	feeds              []*feed
+	host               string // Uri-Host of new operations; empty: by turns
 	// step is called at each step of a request, feed or handover.
 	step       func(name string, n *node, x *exchange)
 	violations []string
