admission: judge tokens by the clock of their incarnation after every handover

Cause: Import gave all incarnations of a table the clock offset of the last sender, taken from heartbeats, which only neighbours exchange. With clocks more than 60 s apart a token could be called not run after its entry was evicted. Change: AdmissionMove carries the clock of each incarnation, set when it is sent. scripts/mutations.sh runs the unit tests of the packages as well.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -99,7 +99,7 @@
 	assert.Equal(t, len(parts), 3)
 	for i, p := range parts {
 		assert.Assert(t, !next.Answers(7))
-		done, err := next.Import(now+second, p, time.Hour)
+		done, err := next.Import(now+second-ids.Time(time.Hour), p)
 		assert.NilError(t, err)
 		assert.Equal(t, done, i == 2)
 	}
@@ -113,8 +113,31 @@
 	_, d = next.Admit(later, token(9, now), 1)
 	assert.Equal(t, d, NotRun)
 	parts[0].Entries[0].Nonce = nil
-	_, err := NewTable(9).Import(now, parts[0], 0)
+	_, err := NewTable(9).Import(now, parts[0])
 	assert.ErrorIs(t, err, ErrEntry)
+	parts[1].Clocks = nil
+	_, err = NewTable(9).Import(now, parts[1])
+	assert.ErrorIs(t, err, ErrEntry)
+}
+
+// Guards against a wrong "not run" after two handovers between instances whose
+// clocks disagree: the age of a token is that on the clock of its incarnation.
+func TestChainedHandoverKeepsClocks(t *testing.T) {
+	first, middle, third := NewTable(7), NewTable(8), NewTable(9)
+	now := 1000 * second
+	behind, ahead := now-100*second, now+100*second // the same instant on the other clocks
+	first.Close()
+	done, err := middle.Import(behind, first.Export(now)[0])
+	assert.NilError(t, err)
+	assert.Assert(t, done)
+	middle.Close()
+	done, err = third.Import(ahead, middle.Export(behind)[0])
+	assert.NilError(t, err)
+	assert.Assert(t, done)
+	for age, want := range map[ids.Time]Decision{1: NotRun, 239: NotRun, 241: OutcomeUnknown} {
+		_, d := third.Admit(ahead, token(1, now-age*second), 11)
+		assert.Equal(t, d, want, "age %d s", age)
+	}
 }
 
 // Guards against responses that exceed the memory bound.
--- a/internal/admission/handover.go
+++ b/internal/admission/handover.go
@@ -32,7 +32,8 @@
 		}
 	}
 	slices.Sort(incarnations[1:])
-	part := &peerwire.AdmissionMove{Incarnations: incarnations}
+	clocks := make([]ids.Time, len(incarnations))
+	part := &peerwire.AdmissionMove{Incarnations: incarnations, Clocks: clocks}
 	parts := []*peerwire.AdmissionMove{part}
 	size := 0
 	for i := range t.length {
@@ -42,15 +43,27 @@
 		}
 		a := export(now, e)
 		if size += entryBytes + len(a.Response); size > PartBytes && len(part.Entries) > 0 {
-			part = &peerwire.AdmissionMove{Incarnations: incarnations, Part: part.Part + 1}
+			part = &peerwire.AdmissionMove{Incarnations: incarnations, Clocks: clocks, Part: part.Part + 1}
 			parts, size = append(parts, part), entryBytes+len(a.Response)
 		}
 		part.Entries = append(part.Entries, a)
 	}
 	part.Last = true
+	t.Stamp(now, part)
 	return parts
 }
 
+// Stamp sets the clocks of the incarnations of p, and of all parts exported
+// with it, to now. It is called each time that the parts are sent.
+func (t *Table) Stamp(now ids.Time, p *peerwire.AdmissionMove) {
+	for k, i := range p.Incarnations {
+		p.Clocks[k] = now
+		if i != t.self {
+			p.Clocks[k] = now.Add(t.moved[i].offset)
+		}
+	}
+}
+
 func export(now ids.Time, e *Entry) peerwire.Admission {
 	a := peerwire.Admission{
 		Incarnation: e.ID.Incarnation,
@@ -70,15 +83,19 @@
 	return a
 }
 
-// Import enters one part of a table that another instance hands over. offset
-// is the clock of that instance minus the own clock. It returns true when all
+// Import enters one part of a table that another instance hands over. The
+// issue time of a token is judged by the clock of the incarnation that it names,
+// also after several handovers. It returns true when all
 // parts have arrived; from then on the table answers for the incarnations. A
 // malformed entry fails the whole part: without it the table would tell that
 // the request has not run.
-func (t *Table) Import(now ids.Time, p *peerwire.AdmissionMove, offset time.Duration) (bool, error) {
+func (t *Table) Import(now ids.Time, p *peerwire.AdmissionMove) (bool, error) {
 	if len(p.Incarnations) == 0 {
 		return false, ErrEmptyMove
 	}
+	if len(p.Clocks) != len(p.Incarnations) {
+		return false, ErrEntry
+	}
 	for i := range p.Entries {
 		a := &p.Entries[i]
 		if len(a.Nonce) != nonceSize || !slices.Contains(p.Incarnations, a.Incarnation) ||
@@ -97,7 +114,6 @@
 	for i := range p.Entries {
 		t.importEntry(now, &p.Entries[i])
 	}
-	m.offset = offset
 	m.parts[p.Part] = true
 	if p.Last {
 		m.last, m.hasLast = p.Part, true
@@ -105,8 +121,8 @@
 	if !m.hasLast || len(m.parts) != int(m.last)+1 {
 		return false, nil
 	}
-	for _, i := range p.Incarnations {
-		t.moved[i] = &moved{offset: offset, complete: true}
+	for k, i := range p.Incarnations {
+		t.moved[i] = &moved{offset: p.Clocks[k].Sub(now), complete: true}
 	}
 	return true, nil
 }
--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -160,6 +160,7 @@
 	c.stop.tries++
 	c.stop.sent = c.now
 	for _, p := range c.stop.parts {
+		c.admissions.Stamp(c.now, p)
 		b := c.peer(nil)
 		b.message.AdmissionMove = p
 		c.send(c.stop.successor, b)
@@ -171,7 +172,7 @@
 	if !c.accepting() {
 		return // the sender asks another instance
 	}
-	complete, err := c.admissions.Import(c.now, m, c.view.ClockOffset(from))
+	complete, err := c.admissions.Import(c.now, m)
 	if err != nil {
 		c.counts.Malformed++
 		c.log("handover-refused", "from="+string(from)+" error="+err.Error())
--- a/internal/peerwire/peerwire.go
+++ b/internal/peerwire/peerwire.go
@@ -189,6 +189,8 @@
 	Part         uint32            `cbor:"2,keyasint"`
 	Last         bool              `cbor:"3,keyasint,omitempty"`
 	Entries      []Admission       `cbor:"4,keyasint"`
+	// Clocks holds the clock of each of Incarnations when the part was sent.
+	Clocks []ids.Time `cbor:"5,keyasint"`
 }
 
 // AdmissionMoved acknowledges all parts of an AdmissionMove up to the last.
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -8,6 +8,13 @@
 copy=$(mktemp -d)
 trap 'rm -rf "$copy"' EXIT
 git ls-files -z | xargs -0 tar -cf - | tar -xf - -C "$copy"
+# prove runs the proof of the promises: the tests of the packages that hold them
+# up, then the random tests and the matrix of internal/proof.
+prove() {
+	timeout 240 "$GO" test -count=1 -failfast ./internal/admission ./internal/config ./internal/share ./internal/spread ./internal/member ./internal/core &&
+		timeout 240 "$GO" test ./internal/proof -count=1 -failfast -rapid.checks 40 -rapid.shrinktime 1s
+}
+
 survivors=0
 for patch in "$root"/internal/proof/testdata/mutations/*.patch; do
 	name=$(basename "$patch" .patch)
@@ -16,7 +23,7 @@
 	fi
 	(cd "$copy" && patch -s -p1 <"$patch")
 	status=0
-	(cd "$copy" && timeout 240 "$GO" test ./internal/proof -count=1 -failfast -rapid.checks 40 -rapid.shrinktime 1s) >"$copy.out" 2>&1 || status=$?
+	(cd "$copy" && prove) >"$copy.out" 2>&1 || status=$?
 	(cd "$copy" && patch -s -R -p1 <"$patch")
 	if [ $status -eq 0 ]; then
 		echo "SURVIVED $name"
@@ -26,7 +33,7 @@
 		head -5 "$copy.out"
 		survivors=$((survivors + 1))
 	else
-		echo "red $name: $(grep -m1 -o -E '(claim|exchange|feed|a request|a response|share|normal service|the outcome|the step|[a-z]+ [ab]-[0-9]|[ab][0-9]|[0-9]+ of 30) .*' "$copy.out" | cut -c1-140)"
+		echo "red $name: $(grep -m1 -o -E -- '--- FAIL: [A-Za-z0-9_]+' "$copy.out" | cut -d' ' -f3): $(grep -m1 -o -E '_test\.go:[0-9]+: (\[rapid\] )?[^[].*' "$copy.out" | grep -v 'draw ' | cut -c1-140)"
 	fi
 	rm -f "$copy.out"
 done
