config: ask a peer again soon after one unanswered request

Cause: a peer that did not answer a ConfigRequest within 1 s was not asked again for 10 s, even when no other peer was left. With the platform out of reach a joining instance that lost one answer of each peer served only after 11 s. Change: a peer is asked again after 2 s, doubling up to 10 s; an answer resets this.

--- a/internal/config/sync.go
+++ b/internal/config/sync.go
@@ -37,6 +37,10 @@
 	joinLimit = 3 * time.Second
 	// peerAttempts without an answer lead to a read of the platform.
 	peerAttempts = 3
+	// peerRetry is the time until a peer that did not answer is asked again. It
+	// doubles up to silence: the answer may be waiting for the byte budget of
+	// the link, and each request causes another.
+	peerRetry = 2 * time.Second
 
 	// silence is the time without heartbeats after which an instance reads
 	// the platform itself; silenceJitter spreads the reads of a fleet.
@@ -109,6 +113,12 @@
 	revision ids.Revision
 	heardAt  ids.Time
 	failedAt ids.Time
+	failures int // requests without an answer since the last answer
+}
+
+// usable reports whether the peer may be asked at now.
+func (p *peer) usable(now ids.Time) bool {
+	return p.failures == 0 || now.Sub(p.failedAt) >= min(peerRetry<<min(p.failures-1, 8), silence)
 }
 
 // NewSyncer returns the syncer of an instance that has no configuration.
@@ -153,6 +163,10 @@
 
 // Answered handles a ConfigDelta that has been applied to the store.
 func (y *Syncer) Answered(now ids.Time, from ids.Instance) {
+	if p, ok := y.peers[from]; ok {
+		p.failures = 0
+		y.peers[from] = p
+	}
 	if from == y.asked {
 		y.asked, y.attempts = "", 0
 	}
@@ -229,6 +243,7 @@
 	if y.asked != "" && now.Sub(y.askedAt) >= peerTimeout {
 		p := y.peers[y.asked]
 		p.failedAt = now
+		p.failures++
 		y.peers[y.asked] = p
 		y.asked = ""
 		y.attempts++
@@ -288,7 +303,7 @@
 	}
 	var list []ids.Instance
 	for id, p := range y.peers {
-		if p.revision >= least && (p.failedAt == 0 || now.Sub(p.failedAt) >= silence) {
+		if p.revision >= least && p.usable(now) {
 			list = append(list, id)
 		}
 	}
--- a/internal/core/config_test.go
+++ b/internal/core/config_test.go
@@ -103,6 +103,10 @@
 	w.advance(10 * time.Second)
 	w.add(3, 2, resolved("s", 3), 77)
 	w.paused[2] = false
+	start := w.now
+	w.cut = func(_, to ids.Instance, m *peerwire.Message) bool { // the view is complete before the configuration
+		return to == "i2" && m.ConfigDelta != nil && w.now.Sub(start) < 1500*time.Millisecond
+	}
 	for n := 0; w.cores[2].view.State() != peerwire.Serving; n++ {
 		assert.Assert(t, n < 1000, "did not join within 10 s")
 		w.advance(10 * time.Millisecond)
--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -87,6 +87,21 @@
 	assert.Equal(t, len(w.cores[core].upstreams)+len(w.cores[core].exchanges)+len(w.cores[core].requests), 0)
 }
 
+// Guards against a separate response whose message id, chosen by the backend
+// server, equals that of another request in flight there: only the token counts.
+func TestResponseIsMatchedByToken(t *testing.T) {
+	w := newWorld(t, 1, resolved("s", 1))
+	w.serve = func(received) *message.Outgoing { return nil }
+	w.send(0, callerN(1), get(1))
+	w.send(0, callerN(2), get(2))
+	sent := w.executions(message.GET)
+	assert.Equal(t, len(sent), 2)
+	w.fromBackend(0, w.cores[0].services["s"].config.Service.Targets[0].Address, &message.Outgoing{
+		Type: message.Confirmable, Code: message.Content, ID: sent[1].m.ID, Token: sent[0].m.Token})
+	assert.Equal(t, len(w.finals(callerN(1))), 1)
+	assert.Equal(t, len(w.finals(callerN(2))), 0)
+}
+
 // Guards against work that goes on after the caller has cancelled it.
 func TestCancelledRequestIsCancelledAtBackend(t *testing.T) {
 	w := newWorld(t, 1, resolved("s", 2))
