member, experiment: name three things after what they do

Cause: tell, told and killBehindLies are not terms of the field. Change: attach, sentChange, killWithFalseHealth. Result: the tests of both packages pass.

--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -14,7 +14,7 @@
 		plot: plotSpec{x: "time (s)", y: "served at once (%)", lines: true, policies: []string{"least outstanding", "two choices", designName, coreName}},
 		run: func(p policy, seed uint64) outcome {
 			lost := runFault(p, seed, 0.8, func(c *cluster) { c.kill(c.instances[instanceCount-1]) })
-			liars := runFault(p, seed, 0.6, killBehindLies)
+			liars := runFault(p, seed, 0.6, killWithFalseHealth)
 			out := outcome{series: []series{lost.servedCurve("instance lost"), liars.servedCurve("endpoints lie")}}
 			out.measures = append(out.measures, faultMeasures("instance lost at 80% load", lost)...)
 			out.measures = append(out.measures, faultMeasures("half of the endpoints lie, 60% load", liars)...)
@@ -36,9 +36,9 @@
 	return c
 }
 
-// killBehindLies makes the endpoints of seven of the 15 backend servers lie:
+// killWithFalseHealth makes the endpoints of seven of the 15 backend servers lie:
 // four that work report a failure, three that die report that all is well.
-func killBehindLies(c *cluster) {
+func killWithFalseHealth(c *cluster) {
 	for i, b := range c.backends[:7] {
 		b.lies = true
 		b.dead = i >= 4
--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -130,8 +130,8 @@
 	v.recent = append(v.recent, change{v.changes, r.ID})
 }
 
-// tell adds a record to the next heartbeat to id.
-func (v *View) tell(id ids.Instance, m peerwire.Member) {
+// attach adds a record to the next heartbeat to id.
+func (v *View) attach(id ids.Instance, m peerwire.Member) {
 	i := v.slot(id)
 	if i < 0 {
 		return
@@ -161,7 +161,7 @@
 	v.heardPeer = true
 	if r := v.members[from]; r != nil && r.Suspected {
 		// It is alive: it learns of the suspicion and refutes it.
-		v.tell(from, r.Member)
+		v.attach(from, r.Member)
 	}
 	if i < 0 {
 		if h.Seq != answerSeq {
@@ -185,7 +185,7 @@
 func (v *View) compare(l *link, digest uint64) {
 	if digest == v.digest32() {
 		l.mismatchSince, l.repairs, v.synced = 0, 0, true
-		l.told = v.changes // the peer has them all
+		l.sentChange = v.changes // the peer has them all
 		v.askGap = 0
 		return
 	}
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -148,7 +148,7 @@
 			in.Lifecycle = r.Lifecycle
 		}
 		if !newer(&in, &r.Member) && !newer(&r.Member, &in) && !r.Suspected && v.heardJustNow(r.ID) {
-			v.tell(r.ID, in)
+			v.attach(r.ID, in)
 			return
 		}
 	}
@@ -184,7 +184,7 @@
 	v.urgent = true
 	for i := range v.links {
 		if v.links[i].id != "" {
-			v.tell(v.links[i].id, r.Member)
+			v.attach(v.links[i].id, r.Member)
 			v.markKnown(i, r)
 		}
 	}
--- a/internal/member/neighbours.go
+++ b/internal/member/neighbours.go
@@ -46,7 +46,7 @@
 	sentAt        ids.Time
 	sent          uint64   // heartbeats sent
 	deltaAt       ids.Time // last delta of changes
-	told          uint64   // changes up to this sequence number have been sent
+	sentChange    uint64   // changes up to this sequence number have been sent
 	mismatchSince ids.Time // 0 while the digests agree
 	repairAt      ids.Time // next repair of a mismatch
 	repairs       int      // repairs since the digests agreed
@@ -143,7 +143,7 @@
 		if l.id != "" {
 			continue
 		}
-		*l = link{id: id, told: v.changes, knownFrom: v.now}
+		*l = link{id: id, sentChange: v.changes, knownFrom: v.now}
 		l.restart(v.now)
 		v.forgetKnown(i)
 		// The peer learns the own record even if it has never heard of this
--- a/internal/member/tick.go
+++ b/internal/member/tick.go
@@ -171,12 +171,12 @@
 // pending reports whether a change is to be sent to the peer now, and skips
 // those that it has.
 func (v *View) pending(i int, l *link) bool {
-	if l.told >= v.changes {
+	if l.sentChange >= v.changes {
 		return false
 	}
 	waiting := false // an earlier change is not due yet
 	for _, e := range v.recent {
-		if e.seq <= l.told {
+		if e.seq <= l.sentChange {
 			continue
 		}
 		r := v.members[e.id]
@@ -186,7 +186,7 @@
 		}
 		waiting = waiting || open
 		if !waiting {
-			l.told = e.seq
+			l.sentChange = e.seq
 		}
 	}
 	return false
@@ -214,7 +214,7 @@
 			break
 		}
 		r := v.members[e.id]
-		if e.seq <= l.told || r == nil || r.change != e.seq || r.quiet || r.knownBy&(1<<i) != 0 ||
+		if e.seq <= l.sentChange || r == nil || r.change != e.seq || r.quiet || r.knownBy&(1<<i) != 0 ||
 			v.now.Sub(r.at) < v.delay(i, e.seq) {
 			continue
 		}
