core: do not relay a request that a backend server may have run

Cause: the read-through found the rule for relaying a queued request four times, and SlotFree lacked its part on attempts. A retry that was relayed lost its count of attempts, so it could be sent to further backend servers beyond maxAttempts, and the next instance did not know that it may have run. Change: relayable holds the rule once.

--- a/internal/core/long.go
+++ b/internal/core/long.go
@@ -86,7 +86,7 @@
 	}
 	found := false
 	q.RemoveIf(func(r *request) bool {
-		if found || r.isAdmitted || r.hops >= maxHops || r.attempts > 0 || c.now >= r.deadline {
+		if found || !c.relayable(r) {
 			return false
 		}
 		found = true
@@ -159,9 +159,7 @@
 	if q.Len() == 0 || !c.accepting() || !s.onlyLong() || c.shortPeer(s) == nil {
 		return
 	}
-	q.RemoveIf(func(r *request) bool {
-		return !r.isAdmitted && r.hops < maxHops && r.attempts == 0 && c.now < r.deadline
-	}, func(r *request) {
+	q.RemoveIf(c.relayable, func(r *request) {
 		p := c.shortPeer(s)
 		p.backlog++ // until the next report
 		c.forwardQueued(r, p.id)
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -69,7 +69,7 @@
 	}
 	left := int(m.Count)
 	s.queues[spread.Short].RemoveIf(func(r *request) bool {
-		if left == 0 || r.isAdmitted || r.hops >= maxHops || c.now >= r.deadline {
+		if left == 0 || !c.relayable(r) {
 			return false
 		}
 		left--
@@ -77,6 +77,13 @@
 	}, func(r *request) { c.forwardQueued(r, from) })
 }
 
+// relayable reports whether a queued request may be relayed. An admitted one may
+// run here only; one that was sent to a backend server stays, as the next
+// instance would not know of it and count its attempts anew.
+func (c *Core) relayable(r *request) bool {
+	return !r.isAdmitted && r.attempts == 0 && r.hops < maxHops && c.now < r.deadline
+}
+
 // forwardQueued relays a request that was taken out of its queue.
 func (c *Core) forwardQueued(r *request, to ids.Instance) {
 	r.svc.partners[r.partner].queued[r.class]--
--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -216,6 +216,25 @@
 	assert.Equal(t, w.finals(callerN(99))[0].core, 1)
 }
 
+// Guards against a retry that is relayed: the next instance does not know that a
+// backend server may have run the request, and grants it all attempts again.
+func TestRetryIsNotRelayed(t *testing.T) {
+	w := newWorld(t, 2, resolved("s", 4))
+	a := arrival{exchange: exchange{svc: w.cores[0].services["s"], caller: callerA}}
+	m := get(1).encode(t)
+	a.m, a.kind, a.id, a.token = &m, m.Type, m.ID, m.Token
+	w.call(0, func(c *Core, out *Effects) {
+		c.begin(w.now, out)
+		c.refresh(a.svc)
+		r := c.newRequest(&a)
+		r.attempts, r.mayHaveRun = 1, true
+		c.enqueue(r, spread.Short)
+		c.slotFree("i1", &peerwire.SlotFree{Service: "s", Count: 1})
+		assert.Equal(t, c.counts.Relayed, uint64(0))
+		assert.Equal(t, a.svc.backlog(), 1)
+	})
+}
+
 // Guards against a partner that asks for ten times its share taking more than
 // its share of the slots.
 func TestPartnersKeepTheirSplit(t *testing.T) {
--- a/internal/core/tick.go
+++ b/internal/core/tick.go
@@ -151,7 +151,7 @@
 	for class := range s.queues {
 		s.queues[class].RemoveIf(func(*request) bool { return true }, func(r *request) {
 			home, ok := c.home(s, r.hash)
-			if ok && !s.removed && home != c.self.ID && !r.isAdmitted && r.attempts == 0 && r.hops < maxHops {
+			if ok && !s.removed && home != c.self.ID && c.relayable(r) {
 				c.forwardQueued(r, home)
 				return
 			}
