forwarder: thin path for opaque flows on the users' platform

The client of the configuration service moves to internal/documents; both readers share internal/httpget.

--- a/cmd/arbutusdockd/main.go
+++ b/cmd/arbutusdockd/main.go
@@ -22,6 +22,7 @@
 	"github.com/alexflint/go-arg"
 
 	"arbutusdock.example/arbutusdock/internal/daemon"
+	"arbutusdock.example/arbutusdock/internal/forwarder"
 	"arbutusdock.example/arbutusdock/internal/settings"
 )
 
@@ -63,6 +64,9 @@
 	if err != nil {
 		return report(exitUsage, err)
 	}
+	if s.Passthrough != nil {
+		return forward(s.Passthrough)
+	}
 	d, err := daemon.New(s, os.Stdout, os.Stderr)
 	if err != nil {
 		if errors.Is(err, daemon.ErrKeyFiles) {
@@ -70,15 +74,35 @@
 		}
 		return report(exitFailed, err)
 	}
+	return serve(d)
+}
+
+// forward runs an instance that forwards opaque flows.
+func forward(s *settings.Passthrough) int {
+	f, err := forwarder.New(s, os.Stdout)
+	if err != nil {
+		return report(exitFailed, err)
+	}
+	return serve(f)
+}
+
+// instance is an instance of either kind of traffic.
+type instance interface {
+	Run(context.Context) error
+	Stop() // begins the graceful shutdown
+}
+
+// serve runs i until it has stopped.
+func serve(i instance) int {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	go func() {
 		<-signals
-		d.Stop()
+		i.Stop()
 		<-signals
 		os.Exit(exitForced)
 	}()
-	if err := d.Run(context.Background()); err != nil {
+	if err := i.Run(context.Background()); err != nil {
 		return report(exitFailed, err)
 	}
 	return exitStopped
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,12 +20,12 @@
 
 	"arbutusdock.example/arbutusdock/internal/admission"
 	"arbutusdock.example/arbutusdock/internal/core"
+	"arbutusdock.example/arbutusdock/internal/documents"
 	"arbutusdock.example/arbutusdock/internal/ids"
 	"arbutusdock.example/arbutusdock/internal/keys"
 	"arbutusdock.example/arbutusdock/internal/link"
 	"arbutusdock.example/arbutusdock/internal/member"
 	"arbutusdock.example/arbutusdock/internal/peerwire"
-	"arbutusdock.example/arbutusdock/internal/platform"
 	"arbutusdock.example/arbutusdock/internal/ring"
 	"arbutusdock.example/arbutusdock/internal/settings"
 	"arbutusdock.example/arbutusdock/internal/telemetry"
@@ -213,7 +213,7 @@
 		d.emit(event{health: &h})
 	})
 	d.watcher = &watcher{
-		client:   platform.New(s.PlatformURL, nil),
+		client:   documents.New(s.PlatformURL, nil),
 		requests: ring.New[watchRequest](4),
 		emit:     d.emit,
 		log:      d.log,
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"arbutusdock.example/arbutusdock/internal/core"
+	"arbutusdock.example/arbutusdock/internal/documents"
 	"arbutusdock.example/arbutusdock/internal/ids"
-	"arbutusdock.example/arbutusdock/internal/platform"
 	"arbutusdock.example/arbutusdock/internal/ring"
 )
 
@@ -26,7 +26,7 @@
 // watcher reads the platform for the core. A goroutine each serves documents
 // and the list of instances.
 type watcher struct {
-	client   *platform.Client
+	client   *documents.Client
 	requests *ring.Ring[watchRequest]
 	emit     func(event) // blocks until the core takes the event or the daemon ends
 	log      *slog.Logger
--- a/internal/platform/platform.go
+++ b/internal/documents/documents.go
@@ -1,14 +1,11 @@
 // Package platform is the client of the platform's configuration service and
 // instance list (HTTP with JSON, section 3.7 of docs/design.md). It only reads.
-package platform
+package documents
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"io"
 	"math/rand/v2"
-	"net/http"
 	"net/netip"
 	"net/url"
 	"strconv"
@@ -17,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"arbutusdock.example/arbutusdock/internal/core"
+	"arbutusdock.example/arbutusdock/internal/httpget"
 	"arbutusdock.example/arbutusdock/internal/ids"
 )
 
@@ -44,14 +42,13 @@
 
 // Errors of a response that cannot be used.
 var (
-	ErrTooLarge = eris.New("platform: response exceeds the size limit")
+	ErrTooLarge = httpget.ErrTooLarge
 	ErrOrder    = eris.New("platform: documents out of order of revision")
 )
 
 // Client reads from one platform address.
 type Client struct {
-	base string
-	http *http.Client
+	http *httpget.Client
 	rand func() float64
 }
 
@@ -61,14 +58,7 @@
 	if random == nil {
 		random = rand.Float64
 	}
-	return &Client{
-		base: base,
-		rand: random,
-		http: &http.Client{
-			Transport:     &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		},
-	}
+	return &Client{http: httpget.New(base, MaxBody), rand: random}
 }
 
 // Page is one page of publications.
@@ -168,7 +158,7 @@
 		if n > 0 && !c.pause(ctx, backoffMin<<n) {
 			break
 		}
-		if err = c.try(ctx, path, timeout, body); err == nil || errors.Is(err, ErrTooLarge) {
+		if err = c.http.Get(ctx, path, timeout, body); err == nil || errors.Is(err, ErrTooLarge) {
 			return err
 		}
 	}
@@ -187,28 +177,3 @@
 		return false
 	}
 }
-
-func (c *Client) try(ctx context.Context, path string, timeout time.Duration, body any) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
-	if err != nil {
-		return eris.Wrap(err, "platform: build request")
-	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		return eris.Wrapf(err, "platform %s", c.base)
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return eris.Errorf("platform %s: status %d", c.base, response.StatusCode)
-	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, MaxBody+1))
-	if err != nil {
-		return eris.Wrapf(err, "platform %s: read body", c.base)
-	}
-	if len(data) > MaxBody {
-		return ErrTooLarge
-	}
-	return eris.Wrapf(json.Unmarshal(data, body), "platform %s: decode body", c.base)
-}
--- a/internal/platform/platform_test.go
+++ b/internal/documents/documents_test.go
@@ -1,4 +1,4 @@
-package platform
+package documents
 
 import (
 	"context"
--- /dev/null
+++ b/internal/forwarder/forward.go
@@ -0,0 +1,125 @@
+package forwarder
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"arbutusdock.example/arbutusdock/internal/chart"
+	"arbutusdock.example/arbutusdock/internal/follow"
+	"arbutusdock.example/arbutusdock/internal/passthrough"
+	"arbutusdock.example/arbutusdock/platform"
+)
+
+// readPause bounds the rate of repeated read errors.
+const readPause = 10 * time.Millisecond
+
+// forward reads and decides until the socket is closed. It alone uses the core.
+func (f *Forwarder) forward() error {
+	buffer := make([]byte, platform.MaxDatagram)
+	packet := buffer[platform.Headroom:]
+	for {
+		n, _, err := f.conn.ReadFromUDPAddrPort(packet)
+		if err == nil {
+			f.packet(buffer[:platform.Headroom+n])
+			continue
+		}
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			if err := f.conn.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, net.ErrClosed) {
+				return eris.Wrap(err, "reset read deadline")
+			}
+			f.applyUpdates()
+		default:
+			f.counts.readErrors.Add(1)
+			f.log.Warn("read-failed", "error", err)
+			time.Sleep(readPause)
+		}
+	}
+}
+
+// applyUpdates passes everything that waits in the ring to the core.
+func (f *Forwarder) applyUpdates() {
+	for {
+		select {
+		case u := <-f.updates.Out():
+			f.apply(&u)
+		default:
+			f.logEvents()
+			return
+		}
+	}
+}
+
+func (f *Forwarder) apply(u *follow.Update) {
+	now := f.clock.now()
+	if u.AfterOutage {
+		f.core.PlatformBack(now)
+	}
+	if u.Config != nil {
+		f.core.Config(u.Config)
+	}
+	if u.Complete {
+		var list []passthrough.TargetRecord
+		for i := range u.Targets {
+			if !u.Targets[i].Removed {
+				list = append(list, u.Targets[i].Record)
+			}
+		}
+		f.core.Replace(now, list)
+	} else {
+		for i := range u.Targets {
+			t := &u.Targets[i]
+			if t.Removed {
+				f.core.Remove(now, t.Name)
+			} else {
+				f.core.Put(now, &t.Record)
+			}
+		}
+	}
+	f.core.Tick(now)
+	if f.core.Version() != 0 {
+		f.fire(chart.InstanceReady)
+	}
+}
+
+// packet decides about one datagram, whose first Headroom bytes are free.
+func (f *Forwarder) packet(datagram []byte) {
+	now := f.clock.now()
+	f.lastPacket.Store(int64(now))
+	f.counts.received.Add(1)
+	packet := datagram[platform.Headroom:]
+	var p passthrough.Packet
+	if err := platform.ParsePacket(packet, &p); err != nil {
+		f.counts.malformed.Add(1)
+		return
+	}
+	f.core.Tick(now)
+	d := f.core.Packet(now, &p)
+	f.counts.reasons[d.Reason].Add(1)
+	switch d.Verdict {
+	case passthrough.Forward:
+		if d.Reason != passthrough.Known {
+			platform.SetCookie(packet, d.Cookie)
+		}
+		platform.AddressTo(datagram, d.Identity)
+		f.send(datagram, d.Address.AddrPort())
+	case passthrough.Reset:
+		at := netip.AddrPortFrom(netip.AddrFrom4(p.Flow.Caller.IP), f.settings.Listen.Port())
+		f.send(platform.AppendReset(datagram[:0], &p), at)
+	}
+	f.logDecision(&p, &d)
+	f.logEvents()
+}
+
+func (f *Forwarder) send(datagram []byte, to netip.AddrPort) {
+	if _, err := f.conn.WriteToUDPAddrPort(datagram, to); err != nil {
+		f.counts.writeErrors.Add(1)
+	}
+}
--- /dev/null
+++ b/internal/forwarder/forwarder.go
@@ -0,0 +1,187 @@
+// Package forwarder runs the pass-through core: it reads the datagrams of
+// callers, carries out the decisions of the core, feeds it with what is
+// published and answers the readiness probe of the fabric.
+package forwarder
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"arbutusdock.example/arbutusdock/internal/chart"
+	"arbutusdock.example/arbutusdock/internal/follow"
+	"arbutusdock.example/arbutusdock/internal/ids"
+	"arbutusdock.example/arbutusdock/internal/passthrough"
+	"arbutusdock.example/arbutusdock/internal/ring"
+	"arbutusdock.example/arbutusdock/internal/settings"
+	"arbutusdock.example/arbutusdock/internal/telemetry"
+	"arbutusdock.example/arbutusdock/platform"
+)
+
+const (
+	// socketBuffer is asked for in each direction. It holds the datagrams that
+	// arrive while the process waits for its share of the processor.
+	socketBuffer = 4 << 20
+	// updateRing is the number of updates that wait for the core.
+	updateRing = 64
+	// logLines is the number of lines that wait for standard output.
+	logLines = 1024
+	// flowShare is the part of the memory limit that remembered flows may take.
+	flowShare = 0.25
+	// defaultFlows is the number of flows remembered without a memory limit.
+	defaultFlows = 1 << 18
+	// minFlows is the least number of flows remembered.
+	minFlows = 1 << 10
+	// leaveAfter is the least time from SIGTERM to the end: the fabric probes
+	// twice a second and takes an instance out after two misses.
+	leaveAfter = 1600 * time.Millisecond
+	// quietTime without packets ends a planned stop before the grace is over.
+	quietTime = 700 * time.Millisecond
+	// exitMargin is kept of the grace, for the end of the process.
+	exitMargin = 500 * time.Millisecond
+)
+
+// Forwarder is one pass-through instance.
+type Forwarder struct {
+	settings *settings.Passthrough
+	log      *slog.Logger
+	out      *telemetry.Writer
+	conn     *net.UDPConn
+	core     *passthrough.Core
+	updates  *ring.Ring[follow.Update]
+	clock    clock
+	counts   *counts
+
+	lifecycle  atomic.Uint32 // chart.State of chart.Instance
+	lastPacket atomic.Int64  // ids.Time
+	stop       chan struct{}
+}
+
+// clock yields times that never decrease, whatever happens to the time of day.
+type clock struct{ start time.Time }
+
+func (c clock) now() ids.Time { return ids.Time(time.Since(c.start)) + 1 }
+
+// New opens the sockets of an instance. Its log goes to stdout.
+func New(s *settings.Passthrough, stdout io.Writer) (*Forwarder, error) {
+	if s.MemoryBytes > 0 {
+		// The collector works harder as the process nears its limit.
+		debug.SetMemoryLimit(s.MemoryBytes / 2)
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.Listen))
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen for datagrams on %s", s.Listen)
+	}
+	out := telemetry.NewWriter(stdout, logLines)
+	f := &Forwarder{
+		settings: s,
+		log:      telemetry.NewLogger(out, s.Log.Level, s.Instance),
+		out:      out,
+		conn:     conn,
+		updates:  ring.New[follow.Update](updateRing),
+		clock:    clock{time.Now()},
+		counts:   newCounts(),
+		stop:     make(chan struct{}),
+	}
+	// A kernel that grants a smaller buffer is no fault.
+	_ = conn.SetReadBuffer(socketBuffer)
+	_ = conn.SetWriteBuffer(socketBuffer)
+	f.core = passthrough.New(passthrough.Settings{
+		DataCentre: s.DataCentre,
+		MaxFlows:   maxFlows(s.MemoryBytes),
+		FlowLife:   s.FlowLife,
+		Seed:       ids.Hash(string(s.Instance)) ^ uint64(time.Now().UnixNano()),
+	})
+	return f, nil
+}
+
+func maxFlows(memory int64) int {
+	if memory == 0 {
+		return defaultFlows
+	}
+	return max(int(float64(memory)*flowShare/passthrough.FlowBytes), minFlows)
+}
+
+// Run forwards until Stop and the planned stop that follows, or until ctx ends.
+func (f *Forwarder) Run(ctx context.Context) error {
+	defer f.out.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	probe, err := f.serveReady()
+	if err != nil {
+		_ = f.conn.Close() // nothing was served yet
+		return err
+	}
+	defer func() { _ = probe.Close() }() // the process ends
+	f.log.Info("started", "data_centre", f.settings.DataCentre, "listen", f.settings.Listen, "platform", f.settings.Platform)
+	follower := follow.New(platform.NewStore(f.settings.Platform.String()), follow.TimingFor(f.settings.ApplyWithin), f.deliver(ctx), f.log)
+	go follower.Run(ctx)
+	go f.awaitStop(ctx)
+	err = f.forward()
+	f.log.Info("stopped", "packets", f.counts.received.Load(), "log_lines_dropped", f.out.Stats().Dropped)
+	return err
+}
+
+// deliver hands updates to the forwarding goroutine and wakes it.
+func (f *Forwarder) deliver(ctx context.Context) func(follow.Update) {
+	return func(u follow.Update) {
+		for !f.updates.Push(u) {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(time.Millisecond):
+			}
+		}
+		_ = f.conn.SetReadDeadline(time.Unix(1, 0)) // fails only after the socket is closed
+	}
+}
+
+// Stop begins the planned stop.
+func (f *Forwarder) Stop() { close(f.stop) }
+
+// awaitStop leaves the rotation, lets the packets that still arrive be
+// forwarded and closes the socket.
+func (f *Forwarder) awaitStop(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-f.stop:
+		f.fire(chart.InstanceStop)
+		f.log.Info("stopping", "grace", f.settings.Grace)
+		begin := f.clock.now()
+		for {
+			now := f.clock.now()
+			quiet := now.Sub(ids.Time(f.lastPacket.Load())) >= quietTime
+			if now.Sub(begin) >= f.settings.Grace-exitMargin || (quiet && now.Sub(begin) >= leaveAfter) {
+				break
+			}
+			time.Sleep(quietTime / 10)
+		}
+		f.fire(chart.InstanceLeave)
+	}
+	_ = f.conn.Close() // ends the forwarding goroutine
+}
+
+// fire applies an event of the instance's lifecycle.
+func (f *Forwarder) fire(e chart.Event) {
+	for {
+		old := f.lifecycle.Load()
+		to, _, ok := chart.Instance.Next(chart.State(old), e)
+		if !ok {
+			return
+		}
+		if f.lifecycle.CompareAndSwap(old, uint32(to)) {
+			f.log.Info("lifecycle", "from", chart.Instance.StateName(chart.State(old)), "to", chart.Instance.StateName(to))
+			return
+		}
+	}
+}
+
+func (f *Forwarder) serving() bool {
+	return chart.State(f.lifecycle.Load()) == chart.InstanceServing
+}
--- /dev/null
+++ b/internal/passthrough/core.go
@@ -0,0 +1,262 @@
+package passthrough
+
+import (
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/chart"
+	"arbutusdock.example/arbutusdock/internal/ids"
+)
+
+// Settings of a Core.
+type Settings struct {
+	DataCentre ids.DataCentre // own data centre
+	MaxFlows   int            // flows remembered, FlowBytes each
+	FlowLife   time.Duration  // age after which a flow may be forgotten
+	Seed       uint64         // of random choices
+}
+
+// Core is the decision logic of one instance.
+type Core struct {
+	settings Settings
+	routes   routeTable
+	targets  targetTable
+	flows    flowTable
+	openings openings
+	random   uint64
+	events   []Event
+	gone     []removal // targets whose cookies are kept for their open flows
+
+	outageEnd ids.Time // when the platform answered again after an outage
+	swept     ids.Time
+}
+
+// removal is a target that was removed at a time.
+type removal struct {
+	name string
+	born int64
+	at   ids.Time
+}
+
+// New returns a core without configuration and targets.
+func New(s Settings) *Core {
+	return &Core{settings: s, targets: newTargetTable(), flows: newFlowTable(max(s.MaxFlows, 1)), random: s.Seed}
+}
+
+// Verdict is what is to be done with a packet.
+type Verdict uint8
+
+// Verdicts.
+const (
+	Drop Verdict = iota
+	Forward
+	Reset // answer the caller with a reset
+)
+
+// Reason is the input that decided.
+type Reason uint8
+
+// Reasons.
+const (
+	Known         Reason = iota // the cookie names the target
+	Placed                      // a new flow
+	Replaced                    // a copy of an opening packet goes to another target
+	Repeated                    // a copy of an opening packet goes to the same target
+	NoConfig                    // no configuration yet
+	NoRoute                     // no route for this address
+	RouteDropped                // the route of the open flow has been removed
+	NoTarget                    // the service has no target
+	UnknownCookie               // the cookie names no known target
+	NoCookie                    // not an opening packet, and without a cookie
+	reasons
+)
+
+// Reasons is the number of reasons.
+const Reasons = int(reasons)
+
+var reasonNames = [...]string{"known", "placed", "replaced", "repeated", "no_config", "no_route", "route_dropped", "no_target", "unknown_cookie", "no_cookie"}
+
+func (r Reason) String() string { return reasonNames[r] }
+
+// Decision says what is to be done with a packet. The packet goes to Address,
+// addressed to Identity, with Cookie written into it if Reason is Placed,
+// Replaced or Repeated.
+type Decision struct {
+	Verdict  Verdict
+	Reason   Reason
+	Address  Endpoint
+	Identity uint64
+	Cookie   Cookie
+	Target   string      // name of the target, for logs
+	Service  ids.Service // for logs
+	Busy     int         // requests in progress at the target before a placement
+	Remote   bool        // the target is in another data centre
+}
+
+// Packet decides about one packet of a caller.
+func (c *Core) Packet(now ids.Time, p *Packet) Decision {
+	c.checkOpenings(now)
+	if p.opening() {
+		return c.open(now, p)
+	}
+	if p.Cookie == 0 {
+		return Decision{Reason: NoCookie}
+	}
+	if c.routes.routes != nil {
+		if _, ok := c.routes.routes[p.Flow.Service]; !ok {
+			return c.dropped(p)
+		}
+	}
+	t := c.targets.byCookie[p.Cookie]
+	if t == nil {
+		return Decision{Reason: UnknownCookie}
+	}
+	c.observe(now, p, t)
+	return c.forward(t, Known)
+}
+
+// dropped ends an open flow whose route has been removed.
+func (c *Core) dropped(p *Packet) Decision {
+	if f := c.flows.get(p.Flow); f != nil {
+		c.release(f)
+	}
+	if p.Flags.Has(RST) {
+		return Decision{Reason: RouteDropped}
+	}
+	return Decision{Verdict: Reset, Reason: RouteDropped}
+}
+
+func (c *Core) forward(t *target, reason Reason) Decision {
+	return Decision{
+		Verdict: Forward, Reason: reason, Address: t.Address, Identity: t.Identity, Cookie: t.cookie,
+		Target: t.Name, Service: t.Service, Busy: t.busy, Remote: t.DataCentre != c.settings.DataCentre,
+	}
+}
+
+// open decides about an opening packet or a copy of one.
+func (c *Core) open(now ids.Time, p *Packet) Decision {
+	if c.routes.routes == nil {
+		return Decision{Reason: NoConfig}
+	}
+	route := c.routes.routes[p.Flow.Service]
+	if route == nil {
+		return Decision{Verdict: Reset, Reason: NoRoute}
+	}
+	f := c.flows.get(p.Flow)
+	reason := Placed
+	avoid := int32(-1)
+	if f != nil {
+		t := c.targets.at(f.target)
+		if t != nil && t.usable() && f.state == flowOpening && now.Sub(f.forwarded) < answerTime {
+			// The answer may still be on its way: another target would give the
+			// caller two answers for one flow.
+			return c.forward(t, Repeated)
+		}
+		if t != nil && f.state == flowOpening {
+			avoid = f.target
+			c.failed(now, t, f.forwarded, "opening repeated")
+			reason = Replaced
+		}
+		c.release(f)
+	}
+	t := c.choose(now, route.service(p.Flow), avoid)
+	if t == nil {
+		return Decision{Reason: NoTarget, Service: route.service(p.Flow)}
+	}
+	if t.trust.State() == chart.Suspected {
+		// One flow at a time tries a suspected target.
+		t.retryAt = now.Add(firstRetry)
+	}
+	d := c.forward(t, reason)
+	f, evicted := c.flows.add(p.Flow)
+	c.uncount(&evicted)
+	f.state, f.target, f.avoid = flowOpening, t.index, avoid
+	f.lastSeen, f.forwarded = now, now
+	f.nextSeq = p.Seq + 1
+	t.flows++
+	c.openings.push(opening{flow: p.Flow, sent: now})
+	return d
+}
+
+// observe learns from a packet of an open flow.
+func (c *Core) observe(now ids.Time, p *Packet, t *target) {
+	f := c.flows.get(p.Flow)
+	if f == nil {
+		if p.Length == 0 || p.Flags.Has(FIN) || p.Flags.Has(RST) {
+			return
+		}
+		// The flow came from another instance.
+		var evicted flow
+		f, evicted = c.flows.add(p.Flow)
+		c.uncount(&evicted)
+		f.state, f.target, f.nextSeq, f.ack = flowOpen, t.index, p.Seq, p.Ack
+		t.flows++
+	}
+	f.lastSeen = now
+	if f.target != t.index {
+		c.move(f, t)
+	}
+	if f.state == flowOpening {
+		f.state, f.ack = flowOpen, p.Ack
+		c.alive(now, t)
+	}
+	if p.Flags.Has(RST) || p.Flags.Has(FIN) {
+		c.release(f)
+		return
+	}
+	if progress := int32(p.Ack - f.ack); progress > 0 {
+		f.ack, f.repeats = p.Ack, 0
+		c.alive(now, t)
+		c.finish(f, t)
+	}
+	if p.Length > 0 {
+		c.data(now, p, f, t)
+	}
+}
+
+// data learns from a packet with request data.
+func (c *Core) data(now ids.Time, p *Packet, f *flow, t *target) {
+	end := p.Seq + uint32(p.Length)
+	if int32(end-f.nextSeq) > 0 {
+		f.nextSeq = end
+		if !f.busy {
+			f.busy, f.requested = true, now
+			t.busy++
+		}
+		return
+	}
+	if f.repeats++; f.repeats >= 2 {
+		c.failed(now, t, f.requested, "data repeated")
+	}
+}
+
+// move counts f for another target than before.
+func (c *Core) move(f *flow, t *target) {
+	c.uncount(f)
+	f.target, f.busy = t.index, false
+	t.flows++
+}
+
+// finish ends the request in progress on f.
+func (c *Core) finish(f *flow, t *target) {
+	if f.busy {
+		f.busy = false
+		t.busy--
+	}
+}
+
+// uncount takes f off the load of its target.
+func (c *Core) uncount(f *flow) {
+	if f.state == flowFree {
+		return
+	}
+	if t := c.targets.at(f.target); t != nil {
+		c.finish(f, t)
+		t.flows--
+	}
+}
+
+// release forgets f.
+func (c *Core) release(f *flow) {
+	c.uncount(f)
+	c.flows.remove(f)
+}
--- /dev/null
+++ b/internal/passthrough/event.go
@@ -0,0 +1,54 @@
+package passthrough
+
+import (
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
+)
+
+// EventKind tells what a core has learned.
+type EventKind uint8
+
+// Kinds of events.
+const (
+	ConfigApplied   EventKind = iota // a version came into force
+	TargetChanged                    // lifecycle or address of a target
+	TargetLapsed                     // the record is missing after an outage of the platform
+	TargetSuspected                  // a target gets no new flows for a while
+	TargetTrusted                    // a suspected target has shown that it is alive
+)
+
+var eventNames = [...]string{"config-applied", "target-changed", "target-lapsed", "target-suspected", "target-trusted"}
+
+func (k EventKind) String() string { return eventNames[k] }
+
+// Event is one change of what a core believes. Fields that do not belong to its
+// kind are zero.
+type Event struct {
+	Kind         EventKind
+	Target       string
+	Service      ids.Service
+	Address      Endpoint
+	Reason       string        // new state of the target, or why it is suspected
+	Age          time.Duration // of the evidence
+	Version, Old uint64        // of the configuration
+	Count        int           // routes
+}
+
+// eventLimit bounds the events between two calls of Events, so that a core
+// whose events nobody takes does not grow.
+const eventLimit = 4096
+
+func (c *Core) note(e Event) {
+	if len(c.events) < eventLimit {
+		c.events = append(c.events, e)
+	}
+}
+
+// Events calls f with each event since the last call.
+func (c *Core) Events(f func(Event)) {
+	for _, e := range c.events {
+		f(e)
+	}
+	c.events = c.events[:0]
+}
--- /dev/null
+++ b/internal/passthrough/learn.go
@@ -0,0 +1,152 @@
+package passthrough
+
+import (
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/chart"
+	"arbutusdock.example/arbutusdock/internal/ids"
+)
+
+const (
+	// lapseGrace is the time after the return of the platform within which a
+	// live target whose record had lapsed is back.
+	lapseGrace = 2 * time.Second
+	// sweepEvery is the interval at which a part of the flow table is checked
+	// for idle flows, and sweepParts the number of parts.
+	sweepEvery = 100 * time.Millisecond
+	sweepParts = 16
+)
+
+// Config puts a version of the configuration in force, unless it is not newer
+// than the present one.
+func (c *Core) Config(config *Config) bool {
+	old := c.routes.version
+	if !c.routes.apply(config) {
+		return false
+	}
+	c.note(Event{Kind: ConfigApplied, Version: config.Version, Old: old, Count: len(config.Routes)})
+	return true
+}
+
+// Version returns the version of the configuration in force, 0 for none.
+func (c *Core) Version() uint64 { return c.routes.version }
+
+// Put records what a target has published.
+func (c *Core) Put(now ids.Time, r *TargetRecord) {
+	t, changed := c.targets.put(now, r)
+	if changed {
+		c.note(Event{Kind: TargetChanged, Target: t.Name, Service: t.Service, Reason: c.lifecycle(t), Address: t.Address})
+	}
+}
+
+func (c *Core) lifecycle(t *target) string { return chart.Backend.StateName(t.lifecycle.State()) }
+
+// Remove records that a target's record has disappeared from the platform.
+// Shortly after an outage of the platform the record may merely have lapsed;
+// then the target stays in use for a while.
+func (c *Core) Remove(now ids.Time, name string) {
+	t := c.targets.byName[name]
+	if t == nil || t.lifecycle.State() == chart.BackendGone || t.missingSince != 0 {
+		return
+	}
+	if c.outageEnd != 0 && now.Sub(c.outageEnd) < lapseGrace && !t.Draining {
+		t.missingSince = now
+		c.note(Event{Kind: TargetLapsed, Target: name, Service: t.Service})
+		return
+	}
+	c.remove(now, t)
+}
+
+func (c *Core) remove(now ids.Time, t *target) {
+	c.targets.remove(t)
+	c.gone = append(c.gone, removal{t.Name, t.Born, now})
+	c.note(Event{Kind: TargetChanged, Target: t.Name, Service: t.Service, Reason: c.lifecycle(t), Address: t.Address})
+}
+
+// Replace records a complete list of targets. Those that are not in it are
+// removed.
+func (c *Core) Replace(now ids.Time, list []TargetRecord) {
+	present := make(map[string]bool, len(list))
+	for i := range list {
+		present[list[i].Name] = true
+		c.Put(now, &list[i])
+	}
+	for _, t := range c.targets.slots {
+		if t != nil && !present[t.Name] {
+			c.Remove(now, t.Name)
+		}
+	}
+}
+
+// PlatformBack records that the platform answers again after an outage.
+func (c *Core) PlatformBack(now ids.Time) { c.outageEnd = now }
+
+// Tick does the work that is due with the passage of time. It is to be called
+// at least every sweepEvery while there are flows.
+func (c *Core) Tick(now ids.Time) {
+	c.checkOpenings(now)
+	if now.Sub(c.swept) < sweepEvery {
+		return
+	}
+	c.swept = now
+	c.sweepTargets(now)
+	c.sweepFlows(now)
+}
+
+func (c *Core) sweepTargets(now ids.Time) {
+	for _, t := range c.targets.slots {
+		if t == nil {
+			continue
+		}
+		if t.missingSince != 0 && t.usable() && now.Sub(c.outageEnd) >= lapseGrace {
+			c.remove(now, t)
+		}
+		if t.lifecycle.State() == chart.BackendStarting && !now.Before(t.coldUntil) {
+			t.lifecycle.Fire(chart.BackendReady)
+		}
+	}
+	// A flow lives at most FlowLife, so that after it no cookie names a target
+	// that was removed.
+	for len(c.gone) > 0 && now.Sub(c.gone[0].at) >= c.settings.FlowLife {
+		r := c.gone[0]
+		c.gone = c.gone[1:]
+		if t := c.targets.byName[r.name]; t != nil && t.Born == r.born && t.lifecycle.State() == chart.BackendGone {
+			c.targets.forget(t)
+		}
+	}
+}
+
+func (c *Core) sweepFlows(now ids.Time) {
+	n := len(c.flows.slots)
+	if n == 0 {
+		return
+	}
+	for range (n + sweepParts - 1) / sweepParts {
+		c.flows.hand = (c.flows.hand + 1) % n
+		f := &c.flows.slots[c.flows.hand]
+		if f.state == flowFree {
+			continue
+		}
+		idle := now.Sub(f.lastSeen)
+		if idle > c.routes.idle && c.routes.idle > 0 || idle > c.settings.FlowLife || (f.state == flowOpening && idle > openingLife) {
+			c.release(f)
+			continue
+		}
+		if t := c.targets.at(f.target); t != nil && f.busy && idle > c.timeout(f) {
+			c.finish(f, t) // the caller has given up
+		}
+	}
+}
+
+// openingLife is the time after which a caller has given up an opening.
+const openingLife = 1400 * time.Millisecond
+
+// defaultTimeout is the longest time of a request on a route without one.
+const defaultTimeout = 5 * time.Second
+
+func (c *Core) timeout(f *flow) time.Duration {
+	if r := c.routes.routes[f.key.Service]; r != nil && r.Timeout > 0 {
+		return r.Timeout
+	}
+	return defaultTimeout
+}
--- /dev/null
+++ b/internal/passthrough/packet.go
@@ -0,0 +1,69 @@
+package passthrough
+
+import (
+	"encoding/binary"
+	"net/netip"
+)
+
+// Endpoint is an IPv4 address and port. It is smaller than netip.AddrPort
+// because it stands twice in every flow record.
+type Endpoint struct {
+	IP   [4]byte
+	Port uint16
+}
+
+// AddrPort returns e in the form of the standard library.
+func (e Endpoint) AddrPort() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(e.IP), e.Port)
+}
+
+// EndpointOf converts an IPv4 address and port. ok is false for other addresses.
+func EndpointOf(a netip.AddrPort) (e Endpoint, ok bool) {
+	ip := a.Addr().Unmap()
+	if !ip.Is4() {
+		return Endpoint{}, false
+	}
+	return Endpoint{IP: ip.As4(), Port: a.Port()}, true
+}
+
+func (e Endpoint) String() string { return e.AddrPort().String() }
+
+// FlowKey identifies a flow by its two ends.
+type FlowKey struct {
+	Caller  Endpoint
+	Service Endpoint // address and port to which the caller opened the flow
+}
+
+// hash returns a value that all instances compute alike.
+func (k FlowKey) hash() uint64 {
+	caller := uint64(binary.BigEndian.Uint32(k.Caller.IP[:]))<<16 | uint64(k.Caller.Port)
+	service := uint64(binary.BigEndian.Uint32(k.Service.IP[:]))<<16 | uint64(k.Service.Port)
+	return mix(caller, service)
+}
+
+// Flags of a packet.
+type Flags uint8
+
+// Flags that the forwarder looks at.
+const (
+	SYN Flags = 1 << iota
+	ACK
+	FIN
+	RST
+)
+
+// Has reports whether all of want are set.
+func (f Flags) Has(want Flags) bool { return f&want == want }
+
+// Packet is the header of one packet that a caller sent.
+type Packet struct {
+	Flow   FlowKey
+	Flags  Flags
+	Cookie Cookie // routing cookie that the caller echoes; zero on an opening packet
+	Seq    uint32 // position of the first data byte in the caller's stream
+	Ack    uint32 // next byte that the caller expects; on an opening packet, the number of the copy
+	Length int    // data bytes
+}
+
+// opening reports whether p asks for a new flow.
+func (p *Packet) opening() bool { return p.Flags.Has(SYN) && !p.Flags.Has(ACK) }
--- /dev/null
+++ b/internal/passthrough/target.go
@@ -0,0 +1,149 @@
+package passthrough
+
+import (
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/chart"
+	"arbutusdock.example/arbutusdock/internal/ids"
+)
+
+// TargetRecord is what a backend server has published about itself.
+type TargetRecord struct {
+	Name       string // published name of this incarnation
+	Identity   uint64 // number by which a datagram names the backend server
+	Service    ids.Service
+	Address    Endpoint
+	DataCentre ids.DataCentre
+	Slots      int // requests that it runs at a time
+	Draining   bool
+	Cold       time.Duration // how much longer it is slow after its start
+	Born       int64         // start of this incarnation, Unix milliseconds; 0 if not published
+}
+
+// target is the state kept of one backend server.
+type target struct {
+	TargetRecord
+	cookie    Cookie
+	lifecycle chart.Machine // chart.Backend
+	trust     chart.Machine // chart.Suspicion
+	coldUntil ids.Time
+	// missingSince is when the record disappeared after the platform had been
+	// away; zero while the record is there.
+	missingSince ids.Time
+	// retryAt is when a suspected target may get a flow again.
+	retryAt  ids.Time
+	failures int // failures in a row since the last sign of life
+	lastLife ids.Time
+
+	busy  int // requests in progress, from this instance
+	flows int // open flows, from this instance
+	index int32
+}
+
+// usable reports whether the target may get new flows at all.
+func (t *target) usable() bool {
+	s := t.lifecycle.State()
+	return s == chart.BackendStarting || s == chart.BackendServing
+}
+
+// targetTable holds the backend servers by cookie and by service.
+type targetTable struct {
+	byName    map[string]*target
+	byCookie  map[Cookie]*target
+	byService map[ids.Service][]*target // usable ones only
+	slots     []*target                 // by index; nil entries are free
+	free      []int32
+}
+
+func newTargetTable() targetTable {
+	return targetTable{
+		byName:    map[string]*target{},
+		byCookie:  map[Cookie]*target{},
+		byService: map[ids.Service][]*target{},
+	}
+}
+
+// at returns the target with this index, or nil.
+func (tt *targetTable) at(index int32) *target {
+	if index < 0 || int(index) >= len(tt.slots) {
+		return nil
+	}
+	return tt.slots[index]
+}
+
+// put records what a target has published. changed is false when nothing but
+// counters differ from the present record.
+func (tt *targetTable) put(now ids.Time, r *TargetRecord) (t *target, changed bool) {
+	t = tt.byName[r.Name]
+	if t != nil && t.Born != r.Born {
+		// The same name after a restart knows nothing of the flows before.
+		tt.forget(t)
+		t = nil
+	}
+	if t == nil {
+		t = &target{TargetRecord: *r, cookie: cookieOf(r.Identity), lifecycle: chart.Backend.New(), trust: chart.Suspicion.New()}
+		tt.insert(t)
+		changed = true
+	}
+	changed = changed || t.Draining != r.Draining || t.Address != r.Address || t.Service != r.Service || t.missingSince != 0
+	old := t.Service
+	t.TargetRecord = *r
+	t.missingSince = 0
+	t.coldUntil = now.Add(r.Cold)
+	switch {
+	case r.Draining:
+		t.lifecycle.Fire(chart.BackendDrain)
+	case t.lifecycle.State() == chart.BackendGone:
+		t.lifecycle = chart.Backend.New()
+		changed = true
+	case t.lifecycle.State() == chart.BackendDraining:
+		t.lifecycle.Fire(chart.BackendRestart)
+	}
+	if changed {
+		tt.list(old)
+		tt.list(t.Service)
+	}
+	return t, changed
+}
+
+func (tt *targetTable) insert(t *target) {
+	tt.byName[t.Name] = t
+	tt.byCookie[t.cookie] = t
+	if n := len(tt.free); n > 0 {
+		t.index = tt.free[n-1]
+		tt.free = tt.free[:n-1]
+		tt.slots[t.index] = t
+		return
+	}
+	t.index = int32(len(tt.slots))
+	tt.slots = append(tt.slots, t)
+}
+
+// remove ends the use of t for new flows. Its cookie stays known, so that open
+// flows reach it for as long as it lives.
+func (tt *targetTable) remove(t *target) {
+	t.lifecycle.Fire(chart.BackendRemove)
+	tt.list(t.Service)
+}
+
+// forget drops everything about t.
+func (tt *targetTable) forget(t *target) {
+	tt.remove(t)
+	delete(tt.byName, t.Name)
+	if tt.byCookie[t.cookie] == t {
+		delete(tt.byCookie, t.cookie)
+	}
+	tt.slots[t.index] = nil
+	tt.free = append(tt.free, t.index)
+}
+
+// list rebuilds the candidates of a service.
+func (tt *targetTable) list(service ids.Service) {
+	list := tt.byService[service][:0]
+	for _, t := range tt.slots {
+		if t != nil && t.Service == service && t.usable() {
+			list = append(list, t)
+		}
+	}
+	tt.byService[service] = list
+}
--- /dev/null
+++ b/internal/passthrough/trust.go
@@ -0,0 +1,96 @@
+package passthrough
+
+import (
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/chart"
+	"arbutusdock.example/arbutusdock/internal/ids"
+)
+
+// answerTime is the time after which an opening packet that the caller has not
+// followed up counts as unanswered. A round trip between data centres takes
+// about 15 ms; the caller sends a copy after 200 ms.
+const answerTime = 100 * time.Millisecond
+
+// opening is an opening packet that awaits its answer.
+type opening struct {
+	flow FlowKey
+	sent ids.Time
+}
+
+// openings is a queue of opening packets in the order of their times.
+type openings struct {
+	ring        []opening
+	first, used int
+}
+
+// openingsLimit bounds the openings under observation: those of answerTime at
+// 40,000 new flows a second. Beyond it the oldest go unobserved.
+const openingsLimit = 4096
+
+func (q *openings) push(o opening) {
+	if q.ring == nil {
+		q.ring = make([]opening, openingsLimit)
+	}
+	if q.used == len(q.ring) {
+		q.pop()
+	}
+	q.ring[(q.first+q.used)%len(q.ring)] = o
+	q.used++
+}
+
+func (q *openings) pop() {
+	q.first = (q.first + 1) % len(q.ring)
+	q.used--
+}
+
+func (q *openings) head() *opening { return &q.ring[q.first] }
+
+// checkOpenings counts a failure for each target that left an opening packet
+// unanswered.
+func (c *Core) checkOpenings(now ids.Time) {
+	for c.openings.used > 0 && now.Sub(c.openings.head().sent) >= answerTime {
+		o := *c.openings.head()
+		c.openings.pop()
+		f := c.flows.get(o.flow)
+		if f == nil || f.state != flowOpening || f.forwarded != o.sent {
+			continue
+		}
+		if t := c.targets.at(f.target); t != nil {
+			c.failed(now, t, o.sent, "opening unanswered")
+		}
+	}
+}
+
+// suspected reports whether t gets no flows for now. When the time for a retry
+// has come, one flow at a time tries it.
+func (t *target) suspected(now ids.Time) bool {
+	return t.trust.State() == chart.Suspected && now.Before(t.retryAt)
+}
+
+// failed records that t gave no answer to a packet sent at a time.
+func (c *Core) failed(now ids.Time, t *target, sent ids.Time, reason string) {
+	if sent.Before(t.lastLife) {
+		return // it has shown since that it is alive
+	}
+	if t.trust.State() == chart.Suspected && now.Before(t.retryAt) {
+		return // one failure for each retry
+	}
+	wasTrusted := t.trust.State() == chart.Trusted
+	t.failures++
+	t.retryAt = now.Add(min(firstRetry<<min(t.failures-1, 8), maxRetry))
+	t.trust.Fire(chart.SuspicionSilent)
+	if wasTrusted {
+		c.note(Event{Kind: TargetSuspected, Target: t.Name, Service: t.Service, Reason: reason, Age: now.Sub(sent)})
+	}
+}
+
+// alive records a sign of life of t.
+func (c *Core) alive(now ids.Time, t *target) {
+	t.lastLife = now
+	t.failures = 0
+	if t.trust.State() == chart.Suspected {
+		t.trust.Fire(chart.SuspicionRefute)
+		c.note(Event{Kind: TargetTrusted, Target: t.Name, Service: t.Service})
+	}
+}
--- /dev/null
+++ b/internal/settings/passthrough.go
@@ -0,0 +1,44 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
+)
+
+// Passthrough holds the settings of an instance that forwards opaque flows. The
+// table [passthrough] in a settings file selects this kind of traffic.
+type Passthrough struct {
+	Instance   ids.Instance
+	DataCentre ids.DataCentre
+
+	Listen   netip.AddrPort // datagrams of callers
+	Ready    netip.AddrPort // readiness probe of the fabric
+	Metrics  netip.AddrPort // metrics and admin interface; invalid for none
+	Platform netip.AddrPort // store that is read
+
+	ApplyWithin time.Duration // bound for a publication to be in force
+	Grace       time.Duration // from SIGTERM to the forced end
+	FlowLife    time.Duration // age after which a flow may be forgotten
+	MemoryBytes int64         // limit of the process; 0 for none
+	Log         Log
+}
+
+// parsePassthrough reads the tables of a pass-through instance.
+func parsePassthrough(r *reader) *Passthrough {
+	p := &Passthrough{
+		Instance:    ids.Instance(r.name("instance.id")),
+		DataCentre:  ids.DataCentre(r.name("instance.data_centre")),
+		Listen:      r.addrPort(r.need("passthrough.listen"), netip.AddrPort{}),
+		Ready:       r.addrPort(r.need("passthrough.ready"), netip.AddrPort{}),
+		Metrics:     r.addrPort("passthrough.metrics", netip.AddrPort{}),
+		Platform:    r.addrPort(r.need("passthrough.platform"), netip.AddrPort{}),
+		ApplyWithin: r.duration("passthrough.apply_within", 3*time.Second, 500*time.Millisecond, time.Minute),
+		Grace:       r.duration("passthrough.grace", 6*time.Second, time.Second, time.Hour),
+		FlowLife:    r.duration("passthrough.flow_life", time.Minute, time.Second, 24*time.Hour),
+		MemoryBytes: r.integer("passthrough.memory_mb", 0, 0, 1<<20) << 20,
+	}
+	parseLog(r, &p.Log)
+	return p
+}
--- a/internal/settings/reader.go
+++ b/internal/settings/reader.go
@@ -165,6 +165,12 @@
 	return ok
 }
 
+// hasTable reports whether the table has a key or a line of its own.
+func (r *reader) hasTable(table string) bool {
+	_, ok := r.lines[table]
+	return ok
+}
+
 func (r *reader) missing(key string) { r.fault(key, "missing") }
 
 // need reports key as missing when it is absent, and returns it.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,10 @@
 	Linger        time.Duration // time for which late datagrams are relayed during a planned stop
 	HealthWorkers int           // concurrent health checks
 	HealthTimeout time.Duration // of one health check
+
+	// Passthrough is set for an instance that forwards opaque flows; the other
+	// fields then have no meaning.
+	Passthrough *Passthrough
 }
 
 // Seed is an instance that is asked for the membership at the start.
@@ -119,6 +123,10 @@
 		return Settings{}, err
 	}
 	var s Settings
+	if r.hasTable("passthrough") {
+		s.Passthrough = parsePassthrough(r)
+		return s, r.finish()
+	}
 	parseIdentity(r, &s)
 	parseAddresses(r, &s)
 	parseSeeds(r, &s)
@@ -200,8 +208,12 @@
 	}
 	s.HealthWorkers = int(r.integer("health.workers", 16, 1, 1024))
 	s.HealthTimeout = r.duration("health.timeout", 500*time.Millisecond, 10*time.Millisecond, 10*time.Second)
-	level := r.oneOf("log.level", "info", "debug", "info", "warn", "error")
-	_ = s.Log.Level.UnmarshalText([]byte(level)) // oneOf admits only valid levels
+	parseLog(r, &s.Log)
 	s.Trace.Exporter = r.oneOf("trace.exporter", "none", "none", "stdout", "stderr")
 	s.Trace.Sample = r.float("trace.sample", 0.01, 0, 1)
 }
+
+func parseLog(r *reader, l *Log) {
+	level := r.oneOf("log.level", "info", "debug", "info", "warn", "error")
+	_ = l.Level.UnmarshalText([]byte(level)) // oneOf admits only valid levels
+}
