forwarder: read the settings again on SIGHUP

Ruled out: a fault in the settings file; the log shows none before the end. Change: SIGHUP, or a new time of change of the file, reads it again; the log level takes effect, other changes are reported as needing a restart.

Test: TestPassthroughSurvivesHangup failed before (exit by the signal).

--- a/cmd/arbutusdockd/main.go
+++ b/cmd/arbutusdockd/main.go
@@ -8,7 +8,7 @@
 //	3  terminated by a second signal during the graceful shutdown
 //
 // SIGTERM or SIGINT starts the graceful shutdown; a second one ends the
-// process at once.
+// process at once. SIGHUP reads the settings of a pass-through instance again.
 package main
 
 import (
@@ -83,6 +83,13 @@
 	if err != nil {
 		return report(exitFailed, err)
 	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	go func() {
+		for range reload {
+			f.Reload()
+		}
+	}()
 	return serve(f)
 }
 
--- a/cmd/arbutusdockd/main_test.go
+++ b/cmd/arbutusdockd/main_test.go
@@ -29,15 +29,16 @@
 }
 
 type process struct {
-	t   *testing.T
-	cmd *exec.Cmd
-	log bytes.Buffer // read after the end only
+	t      *testing.T
+	cmd    *exec.Cmd
+	log    bytes.Buffer // standard error; read after the end only
+	output bytes.Buffer // standard output; read after the end only
 }
 
 func launch(t *testing.T, file string) *process {
 	p := &process{t: t, cmd: exec.Command(os.Args[0])}
 	p.cmd.Env = append(os.Environ(), "ARBUTUSDOCKD_TEST_SETTINGS="+file)
-	p.cmd.Stderr = &p.log
+	p.cmd.Stderr, p.cmd.Stdout = &p.log, &p.output
 	assert.NilError(t, p.cmd.Start())
 	t.Cleanup(func() { _ = p.cmd.Process.Kill() })
 	return p
--- /dev/null
+++ b/cmd/arbutusdockd/passthrough_test.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// writePassthrough creates the settings of a pass-through instance whose
+// platform is unreachable.
+func writePassthrough(t *testing.T) string {
+	file := filepath.Join(t.TempDir(), "settings.toml")
+	assert.NilError(t, os.WriteFile(file, []byte(`[instance]
+id = "a-1"
+data_centre = "a"
+[passthrough]
+listen = "127.0.0.1:0"
+ready = "127.0.0.1:0"
+platform = "127.0.0.1:1"
+grace = "1s"
+`), 0o600))
+	return file
+}
+
+// Guards against SIGHUP ending the process: found by the users' bench, where
+// settings files change in the middle of the day.
+func TestPassthroughSurvivesHangup(t *testing.T) {
+	file := writePassthrough(t)
+	p := launch(t, file)
+	time.Sleep(500 * time.Millisecond)
+	p.signal(syscall.SIGHUP)
+	time.Sleep(200 * time.Millisecond)
+	p.signal(syscall.SIGTERM)
+	assert.Equal(t, p.exit(), exitStopped)
+	log := p.output.String()
+	assert.Equal(t, strings.Count(log, "msg=reloaded"), 1, log)
+	assert.Equal(t, strings.Count(log, "msg=stopped"), 1, log)
+}
+
+// Guards against settings with faults that are accepted or not named.
+func TestPassthroughSettingsFault(t *testing.T) {
+	file := writePassthrough(t)
+	data, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(file, fmt.Appendf(data, "flow_life = \"0s\"\n"), 0o600))
+	p := launch(t, file)
+	assert.Equal(t, p.exit(), exitUsage)
+	assert.Assert(t, strings.Contains(p.log.String(), `line 9: key passthrough.flow_life: is "0s"`), p.log.String())
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -58,6 +58,8 @@
 	clock    clock
 	counts   *counts
 
+	level      *slog.LevelVar
+	reload     chan struct{}
 	lifecycle  atomic.Uint32 // chart.State of chart.Instance
 	lastPacket atomic.Int64  // ids.Time
 	stop       chan struct{}
@@ -79,9 +81,13 @@
 		return nil, eris.Wrapf(err, "listen for datagrams on %s", s.Listen)
 	}
 	out := telemetry.NewWriter(stdout, logLines)
+	level := new(slog.LevelVar)
+	level.Set(s.Log.Level)
 	f := &Forwarder{
 		settings: s,
-		log:      telemetry.NewLogger(out, s.Log.Level, s.Instance),
+		level:    level,
+		reload:   make(chan struct{}, 1),
+		log:      telemetry.NewLogger(out, level, s.Instance),
 		out:      out,
 		conn:     conn,
 		updates:  ring.New[follow.Update](updateRing),
@@ -123,6 +129,7 @@
 	follower := follow.New(platform.NewStore(f.settings.Platform.String()), follow.TimingFor(f.settings.ApplyWithin), f.deliver(ctx), f.log)
 	go follower.Run(ctx)
 	go f.awaitStop(ctx)
+	go f.watchSettings(ctx)
 	err = f.forward()
 	f.log.Info("stopped", "packets", f.counts.received.Load(), "log_lines_dropped", f.out.Stats().Dropped)
 	return err
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -99,6 +99,9 @@
 	if err != nil {
 		return Settings{}, err
 	}
+	if s.Passthrough != nil {
+		s.Passthrough.File = path
+	}
 	dir := filepath.Dir(path)
 	s.TLS.CA = resolve(dir, s.TLS.CA)
 	s.TLS.Certificate = resolve(dir, s.TLS.Certificate)
