fanout: one instance of a data centre reads the platform for the others

Ruled out: longer waits, since a silent connection must be noticed within the bound for changes. Change: instances announce themselves at the seeds, which rank those of a data centre; the first reads the platform, the others follow it over WebSocket and CBOR and fall back to the next one and to the platform when it is silent, stale or unknown.

--- /dev/null
+++ b/internal/fanout/client.go
@@ -0,0 +1,80 @@
+package fanout
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"arbutusdock.example/arbutusdock/internal/follow"
+)
+
+const (
+	// dialTimeout bounds the connection to an instance of the own data centre.
+	dialTimeout = 400 * time.Millisecond
+	// silence is the time without a message after which an instance is given
+	// up: two heartbeats and some slack.
+	silence = time.Second
+	// maxUpdate bounds a message, in bytes: 29,000 targets of 250 bytes.
+	maxUpdate = 16 << 20
+)
+
+// client follows one instance.
+type client struct {
+	instance Instance
+	conn     *websocket.Conn
+	revision uint64 // up to which conn has delivered
+}
+
+// read returns the next update after a revision.
+func (c *client) read(ctx context.Context, after uint64) (follow.Update, error) {
+	if c.conn != nil && c.revision != after {
+		c.close() // another source was followed in between
+	}
+	if c.conn == nil {
+		if err := c.dial(ctx, after); err != nil {
+			return follow.Update{}, err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, silence)
+	defer cancel()
+	_, data, err := c.conn.Read(ctx)
+	if err != nil {
+		c.close()
+		return follow.Update{}, eris.Wrapf(err, "read from instance %s", c.instance.ID)
+	}
+	var u follow.Update
+	if err := cbor.Unmarshal(data, &u); err != nil {
+		c.close()
+		return follow.Update{}, eris.Wrapf(err, "decode update of instance %s", c.instance.ID)
+	}
+	c.revision = u.Revision
+	return u, nil
+}
+
+func (c *client) dial(ctx context.Context, after uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	url := "ws://" + c.instance.Address.String() + updatesPath + "?after=" + strconv.FormatUint(after, 10)
+	conn, response, err := websocket.Dial(ctx, url, &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled})
+	if response != nil && response.StatusCode != http.StatusSwitchingProtocols {
+		err = eris.Errorf("status %d", response.StatusCode)
+	}
+	if err != nil {
+		return eris.Wrapf(err, "connect to instance %s at %s", c.instance.ID, c.instance.Address)
+	}
+	conn.SetReadLimit(maxUpdate)
+	c.conn, c.revision = conn, after
+	return nil
+}
+
+func (c *client) close() {
+	if c.conn != nil {
+		_ = c.conn.CloseNow() // its error was reported by the read that failed
+		c.conn = nil
+	}
+}
--- /dev/null
+++ b/internal/fanout/server.go
@@ -0,0 +1,126 @@
+package fanout
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+
+	"arbutusdock.example/arbutusdock/internal/follow"
+	"arbutusdock.example/arbutusdock/internal/ids"
+)
+
+const (
+	// heartbeatEvery is the longest pause between two messages to a follower.
+	heartbeatEvery = 400 * time.Millisecond
+	// writeTimeout bounds the writing of a message to a follower that does not
+	// read.
+	writeTimeout = time.Second
+
+	updatesPath   = "/v1/updates"   // WebSocket with CBOR: updates after a revision
+	instancesPath = "/v1/instances" // announces an instance and returns the ranking
+)
+
+// Server serves the state and the directory of this instance.
+type Server struct {
+	state     *State
+	directory *Directory
+	log       *slog.Logger
+}
+
+// NewServer returns a server for the interface between instances.
+func NewServer(state *State, directory *Directory, log *slog.Logger) *Server {
+	return &Server{state, directory, log}
+}
+
+// Register adds the handlers to mux.
+func (s *Server) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+updatesPath, s.updates)
+	mux.HandleFunc("GET "+instancesPath, s.instances)
+}
+
+// updates sends what changes after a revision until the follower leaves.
+func (s *Server) updates(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after must be a revision", http.StatusBadRequest)
+		return
+	}
+	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		s.log.Warn("follower-refused", "peer", r.RemoteAddr, "error", err)
+		return
+	}
+	defer func() { _ = ws.CloseNow() }()
+	// CloseRead ends the context when the follower leaves.
+	ctx := ws.CloseRead(r.Context())
+	heartbeat := time.NewTicker(heartbeatEvery)
+	defer heartbeat.Stop()
+	for {
+		update, changed, ok := s.state.Since(after)
+		if ok {
+			if err := send(ctx, ws, &update); err != nil {
+				return // the follower reports the loss of its source
+			}
+			after = update.Revision
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-heartbeat.C:
+		}
+	}
+}
+
+func send(ctx context.Context, ws *websocket.Conn, u *follow.Update) error {
+	data, err := cbor.Marshal(u)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return ws.Write(ctx, websocket.MessageBinary, data)
+}
+
+// announcement is the query of an instance at a seed.
+type announcement struct {
+	dataCentre ids.DataCentre
+	self       Instance
+	leaving    bool
+}
+
+func (a *announcement) query() string {
+	q := url.Values{"instance": {string(a.self.ID)}, "data_centre": {string(a.dataCentre)}, "address": {a.self.Address.String()}}
+	if a.leaving {
+		q.Set("leaving", "true")
+	}
+	return q.Encode()
+}
+
+// instances records the announcement of an instance and answers with the
+// ranking of its data centre.
+func (s *Server) instances(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	address, err := netip.ParseAddrPort(q.Get("address"))
+	id, dc := q.Get("instance"), q.Get("data_centre")
+	if err != nil || !ids.ValidName(id) || !ids.ValidName(dc) {
+		http.Error(w, "instance, data_centre and address are needed", http.StatusBadRequest)
+		return
+	}
+	if q.Get("leaving") == "true" {
+		s.directory.Leave(ids.DataCentre(dc), ids.Instance(id))
+	} else {
+		s.directory.Announce(time.Now(), ids.DataCentre(dc), Instance{ids.Instance(id), address})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A write error means that the asking instance has left.
+	_ = json.NewEncoder(w).Encode(s.directory.Ranked(time.Now(), ids.DataCentre(dc)))
+}
--- /dev/null
+++ b/internal/fanout/source.go
@@ -0,0 +1,202 @@
+package fanout
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"arbutusdock.example/arbutusdock/internal/follow"
+	"arbutusdock.example/arbutusdock/internal/httpget"
+	"arbutusdock.example/arbutusdock/internal/ids"
+)
+
+const (
+	// retryPeer is the time for which an instance that failed as a source is not
+	// asked again.
+	retryPeer = 3 * time.Second
+	// rankingLife is the time for which a ranking holds when no seed answers.
+	rankingLife = 15 * time.Second
+	// seedTimeout bounds the call of a seed.
+	seedTimeout = 500 * time.Millisecond
+	// maxRanking bounds the answer of a seed, in bytes.
+	maxRanking = 64 << 10
+)
+
+// errStale is the error of an instance that has not heard from the platform
+// for too long.
+var errStale = eris.New("its state is stale")
+
+// Config of a Source.
+type Config struct {
+	DataCentre ids.DataCentre
+	Self       Instance
+	Seeds      []string // host and port
+	// MaxAge is the greatest age of the state of another instance: beyond it
+	// the platform is read directly.
+	MaxAge time.Duration
+	Log    *slog.Logger
+}
+
+// Source reads from the instances ranked before this one, or else from the
+// platform. It implements follow.Source.
+type Source struct {
+	config   Config
+	platform follow.Source
+	seeds    []*httpget.Client
+
+	mu       sync.Mutex
+	ranking  []Instance
+	rankedAt time.Time
+
+	// Used by the follower's goroutine only.
+	clients map[ids.Instance]*client
+	failed  map[ids.Instance]time.Time
+	current string // source of the last update, for logs
+}
+
+// NewSource returns a source that falls back to platform.
+func NewSource(platform follow.Source, c Config) *Source {
+	s := &Source{config: c, platform: platform, clients: map[ids.Instance]*client{}, failed: map[ids.Instance]time.Time{}}
+	for _, seed := range c.Seeds {
+		s.seeds = append(s.seeds, httpget.New("http://"+seed, maxRanking))
+	}
+	return s
+}
+
+// Announce keeps this instance known at the seeds until ctx ends, and learns
+// the ranking from them. On ctx's end it tells them that the instance leaves.
+func (s *Source) Announce(ctx context.Context) {
+	for {
+		s.announce(ctx, false)
+		select {
+		case <-ctx.Done():
+			leaving, cancel := context.WithTimeout(context.Background(), seedTimeout)
+			s.announce(leaving, true)
+			cancel()
+			return
+		case <-time.After(announceEvery/2 + rand.N(announceEvery)):
+		}
+	}
+}
+
+// announce asks all seeds at once and takes the first answer, so that seeds
+// that are down cost no time.
+func (s *Source) announce(ctx context.Context, leaving bool) {
+	a := announcement{s.config.DataCentre, s.config.Self, leaving}
+	path := instancesPath + "?" + a.query()
+	var calls sync.WaitGroup
+	var first sync.Once
+	for _, seed := range s.seeds {
+		calls.Go(func() {
+			var ranking []Instance
+			if err := seed.Get(ctx, path, seedTimeout, &ranking); err != nil {
+				s.config.Log.Debug("seed-unreachable", "seed", seed.Base(), "error", err)
+				return
+			}
+			first.Do(func() { s.rank(ranking) })
+		})
+	}
+	calls.Wait()
+}
+
+func (s *Source) rank(ranking []Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !slices.Equal(ranking, s.ranking) {
+		names := make([]string, len(ranking))
+		for i, r := range ranking {
+			names[i] = string(r.ID)
+		}
+		s.config.Log.Info("ranking-changed", "ranking", strings.Join(names, ","))
+	}
+	s.ranking, s.rankedAt = ranking, time.Now()
+}
+
+// before returns the instances that are ranked before this one.
+func (s *Source) before() []Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Since(s.rankedAt) > rankingLife {
+		return nil
+	}
+	for i, r := range s.ranking {
+		if r.ID == s.config.Self.ID {
+			return s.ranking[:i]
+		}
+	}
+	return s.ranking
+}
+
+// ReadAll implements follow.Source. An instance that starts asks the platform
+// first, since it does not know the ranking yet.
+func (s *Source) ReadAll(ctx context.Context, timeout time.Duration) (follow.Update, error) {
+	u, err := s.platform.ReadAll(ctx, timeout)
+	if err == nil {
+		s.note("platform", nil)
+		return u, nil
+	}
+	if u, ok := s.readPeers(ctx, 0); ok {
+		return u, nil
+	}
+	return u, err
+}
+
+// ReadChanges implements follow.Source.
+func (s *Source) ReadChanges(ctx context.Context, after uint64, wait, timeout time.Duration) (follow.Update, error) {
+	if u, ok := s.readPeers(ctx, after); ok {
+		return u, nil
+	}
+	u, err := s.platform.ReadChanges(ctx, after, wait, timeout)
+	if err == nil {
+		s.note("platform", nil)
+	}
+	return u, err
+}
+
+// readPeers reads from the first instance before this one that is up to date.
+func (s *Source) readPeers(ctx context.Context, after uint64) (follow.Update, bool) {
+	for _, i := range s.before() {
+		if time.Since(s.failed[i.ID]) < retryPeer {
+			continue
+		}
+		c := s.clients[i.ID]
+		if c == nil || c.instance != i {
+			c = &client{instance: i}
+			s.clients[i.ID] = c
+		}
+		u, err := c.read(ctx, after)
+		if err == nil && u.Age > s.config.MaxAge {
+			err = errStale
+		}
+		if err != nil {
+			s.failed[i.ID] = time.Now()
+			c.close()
+			if ctx.Err() == nil {
+				s.note("none", eris.Wrapf(err, "source %s", i.ID))
+			}
+			continue
+		}
+		s.note(string(i.ID), nil)
+		return u, true
+	}
+	return follow.Update{}, false
+}
+
+// note logs a change of the source.
+func (s *Source) note(source string, cause error) {
+	if source == s.current {
+		return
+	}
+	if cause != nil {
+		s.config.Log.Warn("source-lost", "source", s.current, "error", cause)
+	} else {
+		s.config.Log.Info("source-changed", "from", s.current, "to", source)
+	}
+	s.current = source
+}
--- /dev/null
+++ b/internal/fanout/state.go
@@ -0,0 +1,119 @@
+// Package fanout passes what is published on to the instances of a data centre,
+// so that few of them read the platform. Every instance keeps the whole state
+// and serves it; the first in a ranking that all compute alike reads the
+// platform, the others follow an instance ranked before them. An instance whose
+// sources are unreachable, stale or unknown reads the platform itself.
+package fanout
+
+import (
+	"sync"
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/follow"
+	"arbutusdock.example/arbutusdock/internal/passthrough"
+)
+
+// logLimit is the number of changes that an instance keeps for others; one that
+// is further behind gets everything.
+const logLimit = 4096
+
+// State is everything that is published, as far as this instance knows, with
+// its latest changes. It is safe for concurrent use.
+type State struct {
+	mu             sync.Mutex
+	revision       uint64
+	config         *passthrough.Config
+	configRevision uint64
+	targets        map[string]follow.Target // removed ones are absent
+	log            []change                 // in the order of their revisions
+	floor          uint64                   // changes up to this revision are not in the log
+	confirmed      time.Time                // when the state was last known to be complete
+	known          bool
+	changed        chan struct{} // closed at the next change
+}
+
+type change struct {
+	revision uint64
+	name     string
+}
+
+// NewState returns an empty state.
+func NewState() *State {
+	return &State{targets: map[string]follow.Target{}, changed: make(chan struct{})}
+}
+
+// Apply records an update.
+func (s *State) Apply(u *follow.Update) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if u.Complete {
+		s.targets = make(map[string]follow.Target, len(u.Targets))
+		s.log = s.log[:0]
+		s.floor = u.Revision
+		s.known = true
+	}
+	if u.Config != nil {
+		s.config, s.configRevision = u.Config, u.Revision
+	}
+	for _, t := range u.Targets {
+		if t.Removed {
+			delete(s.targets, t.Name)
+		} else {
+			s.targets[t.Name] = t
+		}
+		if !u.Complete {
+			s.log = append(s.log, change{t.Revision, t.Name})
+		}
+	}
+	if over := len(s.log) - logLimit; over > 0 {
+		s.floor = s.log[over-1].revision
+		s.log = append(s.log[:0], s.log[over:]...)
+	}
+	advanced := u.Revision > s.revision || u.Complete
+	s.revision = max(s.revision, u.Revision)
+	s.confirmed = time.Now().Add(-u.Age)
+	if advanced {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
+// Since returns what has changed after a revision, or everything when that is
+// not known any more, and a channel that is closed at the next change. ok is
+// false while nothing is known.
+func (s *State) Since(after uint64) (u follow.Update, next <-chan struct{}, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.known {
+		return follow.Update{}, s.changed, false
+	}
+	u.Revision = max(s.revision, after)
+	u.Age = time.Since(s.confirmed)
+	if after < s.floor {
+		u.Complete = true
+		u.Revision = s.revision
+		u.Config = s.config
+		for _, t := range s.targets {
+			u.Targets = append(u.Targets, t)
+		}
+		return u, s.changed, true
+	}
+	if s.configRevision > after {
+		u.Config = s.config
+	}
+	first := len(s.log)
+	for first > 0 && s.log[first-1].revision > after {
+		first--
+	}
+	for _, c := range s.log[first:] {
+		t, present := s.targets[c.name]
+		switch {
+		case !present:
+			t = follow.Target{Name: c.name, Revision: c.revision, Removed: true}
+		case t.Revision != c.revision:
+			continue // a later entry of the log has it
+		}
+		u.Targets = append(u.Targets, t)
+	}
+	return u, s.changed, true
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -40,8 +40,10 @@
 	Complete bool   // everything that is published, not only changes
 	Revision uint64 // up to which it is known
 	Config   *passthrough.Config
-	Targets  []Target // in the order of their changes
-	Invalid  []Invalid
+	Targets  []Target  // in the order of their changes
+	Invalid  []Invalid `cbor:"-"` // logged where it was read
+	// Age is the time since the source itself was known to be complete.
+	Age time.Duration
 	// AfterOutage is set by the Follower: the source answers for the first time
 	// after it failed.
 	AfterOutage bool
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -15,13 +15,13 @@
 	"github.com/rotisserie/eris"
 
 	"arbutusdock.example/arbutusdock/internal/chart"
+	"arbutusdock.example/arbutusdock/internal/fanout"
 	"arbutusdock.example/arbutusdock/internal/follow"
 	"arbutusdock.example/arbutusdock/internal/ids"
 	"arbutusdock.example/arbutusdock/internal/passthrough"
 	"arbutusdock.example/arbutusdock/internal/ring"
 	"arbutusdock.example/arbutusdock/internal/settings"
 	"arbutusdock.example/arbutusdock/internal/telemetry"
-	"arbutusdock.example/arbutusdock/platform"
 )
 
 const (
@@ -55,6 +55,7 @@
 	conn     *net.UDPConn
 	core     *passthrough.Core
 	updates  *ring.Ring[follow.Update]
+	state    *fanout.State
 	clock    clock
 	counts   *counts
 
@@ -91,6 +92,7 @@
 		out:      out,
 		conn:     conn,
 		updates:  ring.New[follow.Update](updateRing),
+		state:    fanout.NewState(),
 		clock:    clock{time.Now()},
 		counts:   newCounts(),
 		stop:     make(chan struct{}),
@@ -126,7 +128,12 @@
 	}
 	defer func() { _ = probe.Close() }() // the process ends
 	f.log.Info("started", "data_centre", f.settings.DataCentre, "listen", f.settings.Listen, "platform", f.settings.Platform)
-	follower := follow.New(platform.NewStore(f.settings.Platform.String()), follow.TimingFor(f.settings.ApplyWithin), f.deliver(ctx), f.log)
+	source, err := f.source(ctx)
+	if err != nil {
+		_ = f.conn.Close() // nothing was served yet
+		return err
+	}
+	follower := follow.New(source, follow.TimingFor(f.settings.ApplyWithin), f.deliver(ctx), f.log)
 	go follower.Run(ctx)
 	go f.awaitStop(ctx)
 	go f.watchSettings(ctx)
@@ -138,6 +145,7 @@
 // deliver hands updates to the forwarding goroutine and wakes it.
 func (f *Forwarder) deliver(ctx context.Context) func(follow.Update) {
 	return func(u follow.Update) {
+		f.state.Apply(&u)
 		for !f.updates.Push(u) {
 			select {
 			case <-ctx.Done():
--- a/internal/forwarder/ready.go
+++ b/internal/forwarder/ready.go
@@ -1,36 +1,71 @@
 package forwarder
 
 import (
+	"context"
 	"errors"
 	"log/slog"
 	"net"
 	"net/http"
+	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"arbutusdock.example/arbutusdock/internal/fanout"
+	"arbutusdock.example/arbutusdock/internal/follow"
 	"arbutusdock.example/arbutusdock/platform"
 )
 
-// probeTimeout bounds the reading of a probe and the writing of its answer.
-const probeTimeout = 5 * time.Second
+// headerTimeout bounds the reading of the header of a request.
+const headerTimeout = 5 * time.Second
 
 // serveReady answers the readiness probe of the fabric.
 func (f *Forwarder) serveReady() (*http.Server, error) {
-	listener, err := net.Listen("tcp4", f.settings.Ready.String())
+	return f.serveHTTP("probes", f.settings.Ready, platform.ReadyHandler(f.serving))
+}
+
+// serveHTTP serves a handler until the server is closed.
+func (f *Forwarder) serveHTTP(name string, at netip.AddrPort, handler http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp4", at.String())
 	if err != nil {
-		return nil, eris.Wrapf(err, "listen for probes on %s", f.settings.Ready)
+		return nil, eris.Wrapf(err, "listen for %s on %s", name, at)
 	}
 	server := &http.Server{
-		Handler:           platform.ReadyHandler(f.serving),
-		ReadHeaderTimeout: probeTimeout,
-		WriteTimeout:      probeTimeout,
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
 		ErrorLog:          slog.NewLogLogger(f.log.Handler(), slog.LevelWarn),
 	}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			f.log.Error("probe-listener-failed", "error", err)
+			f.log.Error("listener-failed", "listener", name, "error", err)
 		}
 	}()
 	return server, nil
 }
+
+// source returns where publications are read: other instances and the platform,
+// or the platform alone when no interface between instances is set.
+func (f *Forwarder) source(ctx context.Context) (follow.Source, error) {
+	store := platform.NewStore(f.settings.Platform.String())
+	if !f.settings.Control.IsValid() {
+		return store, nil
+	}
+	mux := http.NewServeMux()
+	fanout.NewServer(f.state, fanout.NewDirectory(), f.log).Register(mux)
+	server, err := f.serveHTTP("instances", f.settings.Control, mux)
+	if err != nil {
+		return nil, err
+	}
+	context.AfterFunc(ctx, func() { _ = server.Close() }) // the process ends
+	timing := follow.TimingFor(f.settings.ApplyWithin)
+	source := fanout.NewSource(store, fanout.Config{
+		DataCentre: f.settings.DataCentre,
+		Self:       fanout.Instance{ID: f.settings.Instance, Address: f.settings.Control},
+		Seeds:      strings.FieldsFunc(f.settings.Seeds, func(r rune) bool { return r == ',' }),
+		MaxAge:     timing.Wait + timing.Slack,
+		Log:        f.log,
+	})
+	go source.Announce(ctx)
+	return source, nil
+}
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -18,6 +18,8 @@
 	Ready    netip.AddrPort // readiness probe of the fabric
 	Metrics  netip.AddrPort // metrics and admin interface; invalid for none
 	Platform netip.AddrPort // store that is read
+	Control  netip.AddrPort // interface between instances; invalid for none
+	Seeds    string         // control addresses of instances, joined by commas
 
 	ApplyWithin time.Duration // bound for a publication to be in force
 	Grace       time.Duration // from SIGTERM to the forced end
@@ -35,6 +37,8 @@
 		Ready:       r.addrPort(r.need("passthrough.ready"), netip.AddrPort{}),
 		Metrics:     r.addrPort("passthrough.metrics", netip.AddrPort{}),
 		Platform:    r.addrPort(r.need("passthrough.platform"), netip.AddrPort{}),
+		Control:     r.addrPort("passthrough.control", netip.AddrPort{}),
+		Seeds:       r.addrPorts("passthrough.seeds"),
 		ApplyWithin: r.duration("passthrough.apply_within", 3*time.Second, 500*time.Millisecond, time.Minute),
 		Grace:       r.duration("passthrough.grace", 6*time.Second, time.Second, time.Hour),
 		FlowLife:    r.duration("passthrough.flow_life", time.Minute, time.Second, 24*time.Hour),
--- a/internal/settings/reader.go
+++ b/internal/settings/reader.go
@@ -318,6 +318,21 @@
 	return a
 }
 
+// addrPorts reads a list of IP:port and joins it by commas.
+func (r *reader) addrPorts(key string) string {
+	list, _ := get[[]any](r, key, "a list of IP:port")
+	var out []string
+	for _, v := range list {
+		text, _ := v.(string)
+		if _, err := netip.ParseAddrPort(text); err != nil {
+			r.fault(key, "has %v, must be a list of IP:port with ports from 0 to 65535", v)
+			continue
+		}
+		out = append(out, text)
+	}
+	return strings.Join(out, ",")
+}
+
 func (r *reader) httpURL(key string) string {
 	v := r.text(key)
 	u, err := url.Parse(v)
