passthrough, follow, fanout, platform: tests, cookie collisions, retries of suspected targets

Two faults that they showed: the pause before a suspected target is tried again never grew, and the candidates of a service were rebuilt at each record, which is quadratic in the number of targets. Two targets with the same cookie now leave the younger one without flows.

--- /dev/null
+++ b/internal/fanout/fanout_test.go
@@ -0,0 +1,251 @@
+package fanout
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"arbutusdock.example/arbutusdock/internal/follow"
+	"arbutusdock.example/arbutusdock/internal/ids"
+	"arbutusdock.example/arbutusdock/internal/passthrough"
+)
+
+// A fixed seed keeps the normal run repeatable; -rapid.seed overrides it.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+func target(name string, revision uint64, removed bool) follow.Target {
+	return follow.Target{Name: name, Revision: revision, Removed: removed, Record: passthrough.TargetRecord{Name: name, Slots: int(revision)}}
+}
+
+// Guards against a follower that ends with another state than its source,
+// whatever it missed: it joins at any revision and reads at random times.
+func TestFollowerConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewState()
+		truth := map[string]follow.Target{}
+		follower := map[string]follow.Target{}
+		var config, followed *passthrough.Config
+		revision, at := uint64(10), uint64(0)
+		s.Apply(&follow.Update{Complete: true, Revision: revision})
+		read := func() {
+			u, _, ok := s.Since(at)
+			assert.Assert(t, ok)
+			if u.Complete {
+				clear(follower)
+			}
+			for _, x := range u.Targets {
+				if x.Removed {
+					delete(follower, x.Name)
+				} else {
+					follower[x.Name] = x
+				}
+			}
+			if u.Config != nil {
+				followed = u.Config
+			}
+			at = u.Revision
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			step := rapid.IntRange(0, 4).Draw(t, "step")
+			if step != 2 {
+				revision += uint64(rapid.IntRange(1, 3).Draw(t, "gap"))
+			}
+			u := follow.Update{Revision: revision}
+			switch step {
+			case 0:
+				config = &passthrough.Config{Version: revision}
+				u.Config = config
+			case 1:
+				u.Complete = true // history was lost
+				u.Config = config
+				for _, x := range truth {
+					u.Targets = append(u.Targets, x)
+				}
+			case 2:
+				read()
+				continue
+			default:
+				x := target(fmt.Sprint("t", rapid.IntRange(1, 4).Draw(t, "target")), revision, rapid.Bool().Draw(t, "removed"))
+				u.Targets = []follow.Target{x}
+				if x.Removed {
+					delete(truth, x.Name)
+				} else {
+					truth[x.Name] = x
+				}
+			}
+			s.Apply(&u)
+		}
+		read()
+		assert.DeepEqual(t, follower, truth)
+		assert.Equal(t, followed, config)
+		assert.Equal(t, at, revision)
+	})
+}
+
+// Guards against changes that are lost when the log overflows.
+func TestLogIsBounded(t *testing.T) {
+	s := NewState()
+	s.Apply(&follow.Update{Complete: true, Revision: 1})
+	for i := range uint64(logLimit + 10) {
+		s.Apply(&follow.Update{Revision: i + 2, Targets: []follow.Target{target("a", i+2, false)}})
+	}
+	u, _, _ := s.Since(5)
+	assert.Assert(t, u.Complete)
+	u, _, _ = s.Since(20)
+	assert.Assert(t, !u.Complete)
+	assert.Equal(t, len(u.Targets), 1)
+	assert.Equal(t, len(s.log), logLimit)
+}
+
+// Guards against seeds that rank differently for the same instances, and
+// against instances that stay listed after their end.
+func TestDirectory(t *testing.T) {
+	now := time.Unix(100, 0)
+	a, b := NewDirectory(), NewDirectory()
+	for i := range 9 {
+		x := Instance{ids.Instance(fmt.Sprint("i", i)), netip.MustParseAddrPort("127.0.0.1:80")}
+		y := Instance{ids.Instance(fmt.Sprint("i", 8-i)), x.Address}
+		a.Announce(now, "dc", x)
+		b.Announce(now, "dc", y)
+		a.Announce(now, "other", x)
+	}
+	first := a.Ranked(now, "dc")
+	assert.Assert(t, slices.Equal(first, b.Ranked(now, "dc")))
+	assert.Equal(t, len(first), ranked)
+	a.Leave("dc", first[0].ID)
+	assert.Equal(t, a.Ranked(now, "dc")[0], first[1])
+	assert.Equal(t, len(a.Ranked(now.Add(entryLife+time.Second), "dc")), 0)
+}
+
+// platformStub counts the reads of the platform.
+type platformStub struct {
+	reads    atomic.Int64
+	revision atomic.Uint64
+	down     atomic.Bool
+}
+
+func (p *platformStub) ReadAll(context.Context, time.Duration) (follow.Update, error) {
+	return p.ReadChanges(context.Background(), 0, 0, 0)
+}
+
+func (p *platformStub) ReadChanges(_ context.Context, after uint64, _, _ time.Duration) (follow.Update, error) {
+	p.reads.Add(1)
+	if p.down.Load() {
+		return follow.Update{}, eris.New("down")
+	}
+	return follow.Update{Complete: after == 0, Revision: max(p.revision.Load(), after)}, nil
+}
+
+// node is an instance with its state and interface.
+type node struct {
+	state  *State
+	source *Source
+	server *httptest.Server
+	dir    *Directory
+}
+
+func newNode(t *testing.T, id ids.Instance, p follow.Source) *node {
+	n := &node{state: NewState(), dir: NewDirectory()}
+	mux := http.NewServeMux()
+	NewServer(n.state, n.dir, quiet).Register(mux)
+	n.server = httptest.NewServer(mux)
+	t.Cleanup(n.server.Close)
+	n.source = NewSource(p, Config{DataCentre: "dc", Self: Instance{id, n.address()}, MaxAge: 300 * time.Millisecond, Log: quiet})
+	return n
+}
+
+func (n *node) address() netip.AddrPort {
+	return netip.MustParseAddrPort(strings.TrimPrefix(n.server.URL, "http://"))
+}
+
+func (n *node) read(t *testing.T, after uint64) follow.Update {
+	t.Helper()
+	u, err := n.source.ReadChanges(context.Background(), after, time.Second, time.Second)
+	assert.NilError(t, err)
+	return u
+}
+
+// Guards against an instance that reads the platform although one before it is
+// up to date, and against one that follows a source that is stale, silent or
+// gone.
+func TestSourceFallsBack(t *testing.T) {
+	p := &platformStub{}
+	p.revision.Store(7)
+	reader, other := newNode(t, "r", p), newNode(t, "o", p)
+	other.source.rank([]Instance{{"r", reader.address()}, {"o", other.address()}})
+	reader.source.rank([]Instance{{"r", reader.address()}, {"o", other.address()}})
+
+	reader.state.Apply(&follow.Update{Complete: true, Revision: 7})
+	assert.Equal(t, other.read(t, 5).Revision, uint64(7))
+	assert.Equal(t, p.reads.Load(), int64(0))
+	assert.Equal(t, reader.read(t, 5).Revision, uint64(7))
+	assert.Equal(t, p.reads.Load(), int64(1), "the first in the ranking reads the platform")
+
+	time.Sleep(350 * time.Millisecond)
+	other.read(t, 7)
+	assert.Equal(t, p.reads.Load(), int64(2), "the reader is stale")
+
+	other.source.failed = map[ids.Instance]time.Time{}
+	reader.state.Apply(&follow.Update{Revision: 8})
+	assert.Equal(t, other.read(t, 7).Revision, uint64(8))
+	assert.Equal(t, p.reads.Load(), int64(2))
+
+	reader.server.CloseClientConnections()
+	reader.server.Close()
+	other.read(t, 8)
+	assert.Equal(t, p.reads.Load(), int64(3), "the reader is gone")
+	other.read(t, 8)
+	assert.Equal(t, p.reads.Load(), int64(4), "it is not asked again at once")
+}
+
+// Guards against an instance that starts without state while the platform
+// refuses it and others have the state.
+func TestStartWithoutPlatform(t *testing.T) {
+	p := &platformStub{}
+	p.down.Store(true)
+	reader, other := newNode(t, "r", p), newNode(t, "o", p)
+	reader.state.Apply(&follow.Update{Complete: true, Revision: 7, Config: &passthrough.Config{Version: 3}})
+	other.source.rank([]Instance{{"r", reader.address()}})
+	u, err := other.source.ReadAll(context.Background(), time.Second)
+	assert.NilError(t, err)
+	assert.Assert(t, u.Complete)
+	assert.Equal(t, u.Config.Version, uint64(3))
+}
+
+// Guards against instances that never learn the ranking from a seed, or that
+// stay in it after a planned stop.
+func TestAnnounce(t *testing.T) {
+	p := &platformStub{}
+	seed, n := newNode(t, "s", p), newNode(t, "n", p)
+	n.source = NewSource(p, Config{DataCentre: "dc", Self: Instance{"n", n.address()}, MaxAge: time.Second, Log: quiet,
+		Seeds: []string{"127.0.0.1:1", seed.address().String()}})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { n.source.Announce(ctx); close(done) }()
+	for range 100 {
+		if len(seed.dir.Ranked(time.Now(), "dc")) == 1 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, len(seed.dir.Ranked(time.Now(), "dc")), 1)
+	cancel()
+	<-done
+	assert.Equal(t, len(seed.dir.Ranked(time.Now(), "dc")), 0)
+}
--- a/internal/passthrough/choose.go
+++ b/internal/passthrough/choose.go
@@ -22,7 +22,7 @@
 	// more, this many are drawn, which bounds the cost of a choice.
 	exhaustive = 24
 	// firstRetry and maxRetry bound the time for which a suspected target gets
-	// no flows; it doubles with each failure in a row. An opening packet that
+	// no flows; it doubles with each try in vain. An opening packet that
 	// was merely lost costs the target firstRetry.
 	firstRetry = time.Second
 	maxRetry   = 4 * time.Second
--- a/internal/passthrough/core.go
+++ b/internal/passthrough/core.go
@@ -163,8 +163,7 @@
 		return Decision{Reason: NoTarget, Service: route.service(p.Flow)}
 	}
 	if t.trust.State() == chart.Suspected {
-		// One flow at a time tries a suspected target.
-		t.retryAt = now.Add(firstRetry)
+		t.retry(now) // one flow at a time tries a suspected target
 	}
 	d := c.forward(t, reason)
 	f, evicted := c.flows.add(p.Flow)
@@ -232,7 +231,7 @@
 // move counts f for another target than before.
 func (c *Core) move(f *flow, t *target) {
 	c.uncount(f)
-	f.target, f.busy = t.index, false
+	f.target = t.index
 	t.flows++
 }
 
--- /dev/null
+++ b/internal/passthrough/core_test.go
@@ -0,0 +1,351 @@
+package passthrough
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
+)
+
+const (
+	ms     = time.Millisecond
+	origin = ids.Time(1_000_000_000)
+)
+
+var (
+	counterAt = Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}
+	slipsAt   = Endpoint{IP: [4]byte{198, 18, 0, 2}, Port: 443}
+)
+
+// A fixed seed keeps the normal run repeatable; -rapid.seed overrides it.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+func testConfig(version uint64) *Config {
+	return &Config{Version: version, IdleTimeout: 15 * time.Second, Routes: []Route{
+		{Name: "counter", Address: counterAt, Splits: []Split{{"counter", 1}}, Timeout: 1500 * ms},
+		{Name: "slips", Address: slipsAt, Splits: []Split{{"slips", 1}}, Timeout: 5 * time.Second},
+	}}
+}
+
+func record(n int, service ids.Service, dc ids.DataCentre) TargetRecord {
+	return TargetRecord{
+		Name: fmt.Sprintf("%s-%d", service, n), Identity: uint64(1000 + n), Service: service, DataCentre: dc, Slots: 2,
+		Address: Endpoint{IP: [4]byte{10, 0, byte(n >> 8), byte(n)}, Port: 8080},
+	}
+}
+
+// testCore has two counter targets and one slip target in the own data centre.
+func testCore() *Core {
+	c := New(Settings{DataCentre: "a", MaxFlows: 1 << 12, FlowLife: time.Minute, Seed: 1})
+	c.Config(testConfig(1))
+	for _, r := range []TargetRecord{record(1, "counter", "a"), record(2, "counter", "a"), record(3, "slips", "a")} {
+		c.Put(origin, &r)
+	}
+	return c
+}
+
+func flowOf(n int, to Endpoint) FlowKey {
+	return FlowKey{Caller: Endpoint{IP: [4]byte{100, 64, byte(n >> 8), byte(n)}, Port: 40000}, Service: to}
+}
+
+func syn(f FlowKey, n uint32) *Packet { return &Packet{Flow: f, Flags: SYN, Seq: 100, Ack: n} }
+
+// request is the first packet of a caller after its opening was answered.
+func request(f FlowKey, c Cookie) *Packet {
+	return &Packet{Flow: f, Flags: ACK, Cookie: c, Seq: 101, Ack: 501, Length: 50}
+}
+
+func open(t *testing.T, c *Core, now ids.Time, f FlowKey) Decision {
+	t.Helper()
+	d := c.Packet(now, syn(f, 0))
+	assert.Equal(t, d.Verdict, Forward)
+	c.Packet(now.Add(10*ms), request(f, d.Cookie))
+	return d
+}
+
+// Guards against a packet of an open flow that goes to another target after
+// the targets and the configuration have changed.
+func TestOpenFlowStays(t *testing.T) {
+	c := testCore()
+	f := flowOf(1, counterAt)
+	d := open(t, c, origin, f)
+	draining := record(int(d.Identity-1000), "counter", "a")
+	draining.Draining = true
+	c.Put(origin.Add(time.Second), &draining)
+	c.Config(testConfig(2))
+	c.Remove(origin.Add(2*time.Second), d.Target)
+	got := c.Packet(origin.Add(3*time.Second), request(f, d.Cookie))
+	assert.Equal(t, got.Verdict, Forward)
+	assert.Equal(t, got.Identity, d.Identity)
+	other := New(Settings{DataCentre: "a", MaxFlows: 16, FlowLife: time.Minute})
+	other.Config(testConfig(2))
+	other.Put(origin, &draining)
+	got = other.Packet(origin, request(f, d.Cookie))
+	assert.Equal(t, got.Identity, d.Identity, "at an instance that has not seen the opening")
+}
+
+// Guards against new flows to a target that is draining or gone.
+func TestDrainingTargetGetsNoFlows(t *testing.T) {
+	c := testCore()
+	r := record(1, "counter", "a")
+	r.Draining = true
+	c.Put(origin, &r)
+	for i := range 50 {
+		assert.Equal(t, c.Packet(origin, syn(flowOf(i, counterAt), 0)).Target, "counter-2")
+	}
+	c.Remove(origin, "counter-2")
+	assert.Equal(t, c.Packet(origin, syn(flowOf(99, counterAt), 0)).Reason, NoTarget)
+	r.Draining = false
+	c.Put(origin, &r)
+	assert.Equal(t, c.Packet(origin, syn(flowOf(98, counterAt), 0)).Target, "counter-1", "the drain was withdrawn")
+}
+
+// Guards against a flow that reaches a target of another service, also when an
+// address is used again.
+func TestFlowStaysInService(t *testing.T) {
+	c := testCore()
+	reused := record(9, "slips", "a")
+	reused.Address = record(1, "counter", "a").Address
+	c.Remove(origin, "counter-1")
+	c.Put(origin, &reused)
+	for i := range 50 {
+		assert.Equal(t, c.Packet(origin, syn(flowOf(i, counterAt), 0)).Service, ids.Service("counter"))
+		assert.Equal(t, c.Packet(origin, syn(flowOf(i, slipsAt), 0)).Service, ids.Service("slips"))
+	}
+}
+
+// Guards against a configuration that goes back, and against a reset of open
+// flows whose route is still there.
+func TestConfigNeverGoesBack(t *testing.T) {
+	c := testCore()
+	f := flowOf(1, slipsAt)
+	d := open(t, c, origin, f)
+	newer := testConfig(5)
+	newer.Routes = newer.Routes[:1]
+	assert.Assert(t, c.Config(newer))
+	assert.Assert(t, !c.Config(testConfig(3)))
+	assert.Assert(t, !c.Config(testConfig(5)))
+	assert.Equal(t, c.Packet(origin, syn(flowOf(2, slipsAt), 0)).Reason, NoRoute)
+	assert.Equal(t, c.Packet(origin, request(f, d.Cookie)).Verdict, Reset, "its route was removed")
+	assert.Equal(t, c.Packet(origin, syn(flowOf(3, counterAt), 0)).Verdict, Forward)
+}
+
+// Guards against a reset while the route may merely be unknown, or for packets
+// whose target is unknown: the target may be alive.
+func TestSilenceWithoutKnowledge(t *testing.T) {
+	c := New(Settings{DataCentre: "a", MaxFlows: 16, FlowLife: time.Minute})
+	assert.Equal(t, c.Packet(origin, syn(flowOf(1, counterAt), 0)), Decision{Reason: NoConfig})
+	assert.Equal(t, c.Packet(origin, request(flowOf(1, counterAt), 77)), Decision{Reason: UnknownCookie})
+	c.Config(testConfig(1))
+	assert.Equal(t, c.Packet(origin, request(flowOf(1, counterAt), 77)), Decision{Reason: UnknownCookie})
+	assert.Equal(t, c.Packet(origin, request(flowOf(1, counterAt), 0)), Decision{Reason: NoCookie})
+}
+
+// Guards against two answers for one flow: a copy that arrives while the answer
+// may be on its way goes to the same target, a later one to another.
+func TestCopyOfOpening(t *testing.T) {
+	c := testCore()
+	f := flowOf(1, counterAt)
+	first := c.Packet(origin, syn(f, 0))
+	early := c.Packet(origin.Add(50*ms), syn(f, 1))
+	assert.Equal(t, early.Target, first.Target)
+	assert.Equal(t, early.Reason, Repeated)
+	late := c.Packet(origin.Add(200*ms), syn(f, 1))
+	assert.Equal(t, late.Reason, Replaced)
+	assert.Assert(t, late.Target != first.Target)
+}
+
+// Pattern: a target falls silent under load. Guards against new flows that
+// still go there after its first unanswered opening.
+func TestSilentTargetIsAvoided(t *testing.T) {
+	c := testCore()
+	silent := c.Packet(origin, syn(flowOf(1, counterAt), 0)).Target
+	now := origin.Add(answerTime)
+	for i := range 40 {
+		now = now.Add(5 * ms)
+		f := flowOf(100+i, counterAt)
+		d := c.Packet(now, syn(f, 0))
+		assert.Assert(t, d.Target != silent, "flow %d", i)
+		c.Packet(now.Add(ms), request(f, d.Cookie))
+	}
+	retry := 0
+	for i := range 40 {
+		now = now.Add(50 * ms)
+		f := flowOf(200+i, counterAt)
+		if d := c.Packet(now, syn(f, 0)); d.Target == silent {
+			retry++
+		} else {
+			c.Packet(now.Add(ms), request(f, d.Cookie))
+		}
+	}
+	assert.Assert(t, retry >= 1 && retry <= 3, "%d tries in 2 s", retry)
+}
+
+// Guards against a suspicion that outlives a sign of life.
+func TestSignOfLifeEndsSuspicion(t *testing.T) {
+	c := testCore()
+	f := flowOf(1, counterAt)
+	d := c.Packet(origin, syn(f, 0))
+	c.Tick(origin.Add(answerTime))
+	target := c.targets.byName[d.Target]
+	assert.Assert(t, target.suspected(origin.Add(answerTime)))
+	c.Packet(origin.Add(300*ms), request(f, d.Cookie))
+	assert.Assert(t, !target.suspected(origin.Add(300*ms)))
+}
+
+// Guards against a service without targets while all of them are suspected.
+func TestAllSuspected(t *testing.T) {
+	c := testCore()
+	now := origin
+	for i := range 10 {
+		now = now.Add(answerTime)
+		assert.Equal(t, c.Packet(now, syn(flowOf(i, counterAt), 0)).Verdict, Forward)
+	}
+}
+
+// Pattern: the platform returns after an outage in which records lapsed. Guards
+// against live targets that are taken out, and against dead ones that stay.
+func TestLapsedRecords(t *testing.T) {
+	c := testCore()
+	c.PlatformBack(origin)
+	c.Remove(origin.Add(100*ms), "counter-1")
+	c.Remove(origin.Add(100*ms), "counter-2")
+	assert.Equal(t, c.Packet(origin.Add(time.Second), syn(flowOf(1, counterAt), 0)).Verdict, Forward)
+	r := record(1, "counter", "a")
+	c.Put(origin.Add(1500*ms), &r)
+	c.Tick(origin.Add(lapseGrace))
+	for i := range 20 {
+		assert.Equal(t, c.Packet(origin.Add(lapseGrace+ms), syn(flowOf(10+i, counterAt), 0)).Target, "counter-1")
+	}
+	c.Remove(origin.Add(5*time.Second), "counter-1")
+	assert.Equal(t, c.Packet(origin.Add(5*time.Second), syn(flowOf(50, counterAt), 0)).Reason, NoTarget, "no outage before")
+}
+
+// Pattern: a short peak on a service with targets in two data centres. Guards
+// against flows across data centres while there is room in the own one, and
+// against queues there while others are idle.
+func TestOwnDataCentreFirst(t *testing.T) {
+	c := testCore()
+	remote := record(4, "counter", "b")
+	c.Put(origin, &remote)
+	away := 0
+	for i := range 60 {
+		f := flowOf(i, counterAt)
+		d := c.Packet(origin, syn(f, 0))
+		c.Packet(origin, request(f, d.Cookie))
+		if d.Remote {
+			away++
+		}
+		if i < 16 {
+			assert.Assert(t, !d.Remote, "flow %d", i)
+		}
+	}
+	assert.Assert(t, away > 0)
+}
+
+// Guards against load that is never taken off again: after all flows have ended
+// in one way or another, every target is idle.
+func TestLoadReturnsToZero(t *testing.T) {
+	c := testCore()
+	now := origin
+	for i := range 300 {
+		now = now.Add(5 * ms)
+		f := flowOf(i, counterAt)
+		d := c.Packet(now, syn(f, 0))
+		c.Tick(now)
+		if i%5 == 0 {
+			continue // never answered
+		}
+		p := request(f, d.Cookie)
+		c.Packet(now.Add(ms), p)
+		if i%5 == 1 {
+			continue // the caller disappears
+		}
+		c.Packet(now.Add(2*ms), &Packet{Flow: f, Flags: ACK, Cookie: d.Cookie, Seq: 151, Ack: 1500})
+		if i%5 == 2 {
+			c.Packet(now.Add(3*ms), &Packet{Flow: f, Flags: RST, Cookie: d.Cookie, Seq: 151, Ack: 1500})
+			continue
+		}
+		c.Packet(now.Add(3*ms), &Packet{Flow: f, Flags: FIN | ACK, Cookie: d.Cookie, Seq: 151, Ack: 1500})
+	}
+	for range 10 * 60 {
+		now = now.Add(sweepEvery)
+		c.Tick(now)
+	}
+	assert.Equal(t, len(c.flows.index), 0)
+	for _, target := range c.targets.slots {
+		assert.Equal(t, target.busy, 0, target.Name)
+		assert.Equal(t, target.flows, 0, target.Name)
+	}
+}
+
+// Guards against a table that grows beyond its limit.
+func TestFlowTableIsBounded(t *testing.T) {
+	c := New(Settings{DataCentre: "a", MaxFlows: 100, FlowLife: time.Minute})
+	c.Config(testConfig(1))
+	r := record(1, "counter", "a")
+	c.Put(origin, &r)
+	for i := range 1000 {
+		open(t, c, origin.Add(time.Duration(i)*ms), flowOf(i, counterAt))
+	}
+	assert.Equal(t, len(c.flows.slots), 100)
+	assert.Equal(t, len(c.flows.index), 100)
+	assert.Equal(t, c.targets.byName["counter-1"].flows, 100)
+}
+
+// Guards against flows of a former incarnation that are counted for the new one
+// under the same name, and against records that are kept for ever.
+func TestRestartUnderSameName(t *testing.T) {
+	c := testCore()
+	f := flowOf(1, slipsAt)
+	d := open(t, c, origin, f)
+	again := record(3, "slips", "a")
+	again.Born = 7
+	c.Put(origin.Add(time.Second), &again)
+	assert.Equal(t, c.targets.byName["slips-3"].flows, 0)
+	got := c.Packet(origin.Add(2*time.Second), request(f, d.Cookie))
+	assert.Equal(t, got.Verdict, Forward, "the new incarnation tells the caller that it does not know the flow")
+	for i := range 100 {
+		r := record(100+i, "slips", "a")
+		c.Put(origin.Add(2*time.Second), &r)
+		c.Remove(origin.Add(3*time.Second), r.Name)
+	}
+	c.Tick(origin.Add(3*time.Second + time.Minute))
+	assert.Equal(t, len(c.targets.byName), 3)
+}
+
+// Guards against a split that differs between instances or misses its weights.
+func TestSplit(t *testing.T) {
+	r := Route{Splits: []Split{{"x", 90}, {"y", 10}}}
+	counts := map[ids.Service]int{}
+	for i := range 20000 {
+		counts[r.service(flowOf(i, counterAt))]++
+	}
+	assert.Assert(t, counts["y"] > 1800 && counts["y"] < 2200, "%v", counts)
+}
+
+// Guards against two targets that share a cookie and both get flows: a packet
+// would reach the wrong one. Instances that learn of them in different order
+// must agree.
+func TestCookieCollision(t *testing.T) {
+	older, younger := record(1, "counter", "a"), record(2, "counter", "a")
+	older.Identity, older.Born = 0x1_0000_0005, 100
+	younger.Identity, younger.Born = 0x2_0000_0006, 200
+	assert.Equal(t, cookieOf(older.Identity), cookieOf(younger.Identity))
+	for _, order := range [][]TargetRecord{{older, younger}, {younger, older}} {
+		c := New(Settings{DataCentre: "a", MaxFlows: 1 << 12, FlowLife: time.Minute, Seed: 1})
+		c.Config(testConfig(1))
+		c.Put(origin, &order[0])
+		c.Put(origin, &order[1])
+		for i := range 20 {
+			assert.Equal(t, c.Packet(origin, syn(flowOf(i, counterAt), 0)).Target, older.Name)
+		}
+		c.Remove(origin, older.Name)
+		c.Tick(origin.Add(time.Minute))
+		assert.Equal(t, c.Packet(origin.Add(time.Minute), syn(flowOf(1, counterAt), 0)).Target, younger.Name)
+	}
+}
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -32,18 +32,21 @@
 	missingSince ids.Time
 	// retryAt is when a suspected target may get a flow again.
 	retryAt  ids.Time
-	failures int // failures in a row since the last sign of life
+	retries  int // since the last sign of life
 	lastLife ids.Time
 
-	busy  int // requests in progress, from this instance
-	flows int // open flows, from this instance
-	index int32
+	busy     int // requests in progress, from this instance
+	flows    int // open flows, from this instance
+	index    int32
+	shadowed bool // an older target has the same cookie
+	listed   bool
+	position int // among the candidates of its service, if listed
 }
 
 // usable reports whether the target may get new flows at all.
 func (t *target) usable() bool {
 	s := t.lifecycle.State()
-	return s == chart.BackendStarting || s == chart.BackendServing
+	return !t.shadowed && (s == chart.BackendStarting || s == chart.BackendServing)
 }
 
 // targetTable holds the backend servers by cookie and by service.
@@ -86,7 +89,9 @@
 		changed = true
 	}
 	changed = changed || t.Draining != r.Draining || t.Address != r.Address || t.Service != r.Service || t.missingSince != 0
-	old := t.Service
+	if t.listed && t.Service != r.Service {
+		tt.unlist(t, t.Service)
+	}
 	t.TargetRecord = *r
 	t.missingSince = 0
 	t.coldUntil = now.Add(r.Cold)
@@ -99,16 +104,13 @@
 	case t.lifecycle.State() == chart.BackendDraining:
 		t.lifecycle.Fire(chart.BackendRestart)
 	}
-	if changed {
-		tt.list(old)
-		tt.list(t.Service)
-	}
+	tt.list(t)
 	return t, changed
 }
 
 func (tt *targetTable) insert(t *target) {
 	tt.byName[t.Name] = t
-	tt.byCookie[t.cookie] = t
+	tt.claimCookie(t)
 	if n := len(tt.free); n > 0 {
 		t.index = tt.free[n-1]
 		tt.free = tt.free[:n-1]
@@ -123,27 +125,70 @@
 // flows reach it for as long as it lives.
 func (tt *targetTable) remove(t *target) {
 	t.lifecycle.Fire(chart.BackendRemove)
-	tt.list(t.Service)
+	tt.list(t)
 }
 
 // forget drops everything about t.
 func (tt *targetTable) forget(t *target) {
 	tt.remove(t)
 	delete(tt.byName, t.Name)
-	if tt.byCookie[t.cookie] == t {
-		delete(tt.byCookie, t.cookie)
-	}
 	tt.slots[t.index] = nil
 	tt.free = append(tt.free, t.index)
+	if tt.byCookie[t.cookie] != t {
+		return
+	}
+	delete(tt.byCookie, t.cookie)
+	for _, other := range tt.slots {
+		if other != nil && other.cookie == t.cookie {
+			tt.claimCookie(other)
+		}
+	}
 }
 
-// list rebuilds the candidates of a service.
-func (tt *targetTable) list(service ids.Service) {
-	list := tt.byService[service][:0]
-	for _, t := range tt.slots {
-		if t != nil && t.Service == service && t.usable() {
-			list = append(list, t)
+// claimCookie gives t its cookie. Of two targets with the same cookie only the
+// older one gets flows, since packets of the other could not be told apart. All
+// instances agree on it, as it follows from what the targets publish.
+func (tt *targetTable) claimCookie(t *target) {
+	t.shadowed = false
+	if holder := tt.byCookie[t.cookie]; holder != nil && holder != t {
+		if holder.olderThan(t) {
+			t.shadowed = true
+			return
 		}
+		holder.shadowed = true
+		tt.list(holder)
+	}
+	tt.byCookie[t.cookie] = t
+	tt.list(t)
+}
+
+func (t *target) olderThan(o *target) bool {
+	if t.Born != o.Born {
+		return t.Born < o.Born
+	}
+	return t.Identity < o.Identity
+}
+
+// list puts t among the candidates of its service, or takes it out.
+func (tt *targetTable) list(t *target) {
+	if t.listed == t.usable() {
+		return
+	}
+	list := tt.byService[t.Service]
+	if t.usable() {
+		t.listed, t.position = true, len(list)
+		tt.byService[t.Service] = append(list, t)
+		return
 	}
-	tt.byService[service] = list
+	tt.unlist(t, t.Service)
+}
+
+// unlist takes t out of the candidates of a service.
+func (tt *targetTable) unlist(t *target, service ids.Service) {
+	list := tt.byService[service]
+	last := list[len(list)-1]
+	list[t.position] = last
+	last.position = t.position
+	tt.byService[service] = list[:len(list)-1]
+	t.listed = false
 }
--- a/internal/passthrough/trust.go
+++ b/internal/passthrough/trust.go
@@ -70,25 +70,24 @@
 
 // failed records that t gave no answer to a packet sent at a time.
 func (c *Core) failed(now ids.Time, t *target, sent ids.Time, reason string) {
-	if sent.Before(t.lastLife) {
-		return // it has shown since that it is alive
+	if sent.Before(t.lastLife) || t.trust.State() == chart.Suspected {
+		return // it has shown since that it is alive, or is suspected already
 	}
-	if t.trust.State() == chart.Suspected && now.Before(t.retryAt) {
-		return // one failure for each retry
-	}
-	wasTrusted := t.trust.State() == chart.Trusted
-	t.failures++
-	t.retryAt = now.Add(min(firstRetry<<min(t.failures-1, 8), maxRetry))
 	t.trust.Fire(chart.SuspicionSilent)
-	if wasTrusted {
-		c.note(Event{Kind: TargetSuspected, Target: t.Name, Service: t.Service, Reason: reason, Age: now.Sub(sent)})
-	}
+	t.retry(now)
+	c.note(Event{Kind: TargetSuspected, Target: t.Name, Service: t.Service, Reason: reason, Age: now.Sub(sent)})
+}
+
+// retry sets the time at which the suspected t may get a flow again.
+func (t *target) retry(now ids.Time) {
+	t.retryAt = now.Add(min(firstRetry<<min(t.retries, 8), maxRetry))
+	t.retries++
 }
 
 // alive records a sign of life of t.
 func (c *Core) alive(now ids.Time, t *target) {
 	t.lastLife = now
-	t.failures = 0
+	t.retries = 0
 	if t.trust.State() == chart.Suspected {
 		t.trust.Fire(chart.SuspicionRefute)
 		c.note(Event{Kind: TargetTrusted, Target: t.Name, Service: t.Service})
