forwarder: tests through loopback sockets with stand-ins of the platform

platform/platformtest holds a store, backend servers and callers that speak the published packets. The tests cover the path, a planned stop, a drain, a start while the platform refuses, lost history and a silent target.

--- /dev/null
+++ b/internal/forwarder/forwarder_test.go
@@ -0,0 +1,300 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
+	"arbutusdock.example/arbutusdock/internal/settings"
+	"arbutusdock.example/arbutusdock/platform/platformtest"
+)
+
+var (
+	counter = netip.MustParseAddrPort("198.18.0.1:443")
+	slips   = netip.MustParseAddrPort("198.18.0.2:443")
+)
+
+// lockedBuffer is a log that is read while it is written.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// instance is a running forwarder.
+type instance struct {
+	*Forwarder
+	log  *lockedBuffer
+	done chan error
+}
+
+// fleet is a small installation on the loopback interface.
+type fleet struct {
+	t         *testing.T
+	store     *platformtest.Store
+	port      uint16 // of all datagrams to callers and instances
+	instances []*instance
+	targets   []*platformtest.Target
+	caller    *platformtest.Caller
+	chosen    atomic.Pointer[instance] // where the fabric sends packets
+}
+
+func freePort(t *testing.T) uint16 {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	return conn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+}
+
+// newFleet starts a store with both routes, two targets of each service and n
+// instances.
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{t: t, store: platformtest.NewStore(), port: freePort(t)}
+	t.Cleanup(f.store.Close)
+	f.config(1)
+	for i, service := range []string{"counter", "counter", "slips", "slips"} {
+		target, err := platformtest.NewTarget(uint32(0x100+i), service, "a", f.port)
+		assert.NilError(t, err)
+		t.Cleanup(target.Close)
+		f.targets = append(f.targets, target)
+		f.store.PutTarget(target, "ready")
+	}
+	for range n {
+		f.start()
+	}
+	var err error
+	f.caller, err = platformtest.NewCaller(netip.AddrPortFrom(netip.MustParseAddr("127.0.1.1"), f.port),
+		func(_, _ netip.AddrPort) netip.AddrPort { return f.chosen.Load().settings.Listen })
+	assert.NilError(t, err)
+	t.Cleanup(f.caller.Close)
+	return f
+}
+
+func (f *fleet) config(version int) {
+	f.store.PutConfig(version,
+		platformtest.Route{IP: counter.Addr().String(), Port: int(counter.Port()), Service: "counter", Kind: "unsafe"},
+		platformtest.Route{IP: slips.Addr().String(), Port: int(slips.Port()), Service: "slips", Kind: "download"})
+}
+
+// start runs one more instance and waits until it serves.
+func (f *fleet) start() *instance {
+	n := len(f.instances)
+	ip := netip.AddrFrom4([4]byte{127, 0, 0, byte(10 + n)})
+	tcp := freePort(f.t)
+	s := &settings.Passthrough{
+		Instance: ids.Instance(fmt.Sprint("a-", n)), DataCentre: "a", Platform: netip.MustParseAddrPort(f.store.Address()),
+		Listen: netip.AddrPortFrom(ip, f.port), Ready: netip.AddrPortFrom(ip, tcp), Control: netip.AddrPortFrom(ip, tcp+1),
+		Metrics:     netip.AddrPortFrom(ip, tcp+2),
+		ApplyWithin: 3 * time.Second, Grace: 6 * time.Second, FlowLife: time.Minute, Log: settings.Log{Level: slog.LevelDebug},
+	}
+	if n > 0 {
+		s.Seeds = f.instances[0].settings.Control.String()
+	} else {
+		s.Seeds = s.Control.String()
+	}
+	i := &instance{log: &lockedBuffer{}, done: make(chan error, 1)}
+	var err error
+	i.Forwarder, err = New(s, i.log)
+	assert.NilError(f.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { i.done <- i.Run(ctx) }()
+	f.t.Cleanup(cancel)
+	f.instances = append(f.instances, i)
+	f.chosen.CompareAndSwap(nil, i)
+	f.eventually(func() bool { return i.ready() == http.StatusOK }, "instance is ready")
+	return i
+}
+
+// ready returns the status that the readiness probe gets, 0 for none.
+func (i *instance) ready() int {
+	response, err := http.Get("http://" + i.settings.Ready.String() + "/ready")
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+func (f *fleet) eventually(condition func() bool, what string) {
+	f.t.Helper()
+	for range 500 {
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.t.Fatalf("not within 5 s: %s", what)
+}
+
+// request runs one request on a flow of its own.
+func (f *fleet) request(to netip.AddrPort, text string) (string, error) {
+	flow, err := f.caller.Open(to)
+	if err != nil {
+		return "", err
+	}
+	defer flow.Close()
+	answer, err := flow.Request([]byte(text), 5*time.Second)
+	return string(answer), err
+}
+
+// checkTargets fails if a packet reached the wrong target or a request ran twice.
+func (f *fleet) checkTargets() {
+	f.t.Helper()
+	for _, target := range f.targets {
+		_, _, repeated, crossed := target.Seen()
+		assert.Equal(f.t, repeated, 0, "%s ran a request twice", target.ID)
+		assert.Equal(f.t, crossed, 0, "%s got packets that were not for it", target.ID)
+	}
+	assert.Equal(f.t, f.caller.Crossed(), 0)
+}
+
+// Guards against a path that does not work end to end, answers of another
+// service, and a flow that breaks when its packets reach another instance.
+func TestPath(t *testing.T) {
+	f := newFleet(t, 2)
+	for i := range 20 {
+		answer, err := f.request(counter, fmt.Sprint("claim-", i))
+		assert.NilError(t, err)
+		assert.Assert(t, strings.HasPrefix(answer, "counter ") && strings.HasSuffix(answer, fmt.Sprint(" claim-", i)), answer)
+		answer, err = f.request(slips, fmt.Sprint("slip-", i))
+		assert.NilError(t, err)
+		assert.Assert(t, strings.HasPrefix(answer, "slips "), answer)
+	}
+	flow, err := f.caller.Open(counter)
+	assert.NilError(t, err)
+	first, err := flow.Request([]byte("a"), time.Second)
+	assert.NilError(t, err)
+	f.chosen.Store(f.instances[1])
+	second, err := flow.Request([]byte("b"), time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, string(first[:len(first)-1]), string(second[:len(second)-1]), "the target is the same")
+	_, err = f.request(netip.MustParseAddrPort("198.18.0.9:443"), "x")
+	assert.ErrorIs(t, err, platformtest.ErrReset, "there is no such route")
+	f.checkTargets()
+}
+
+// Guards against a request that is cut by a planned stop, and against an
+// instance that ends before the fabric has taken it out of rotation.
+func TestPlannedStop(t *testing.T) {
+	f := newFleet(t, 2)
+	flow, err := f.caller.Open(counter)
+	assert.NilError(t, err)
+	leaving := f.instances[0]
+	leaving.Stop()
+	f.eventually(func() bool { return leaving.ready() == http.StatusServiceUnavailable }, "the instance leaves the rotation")
+	start := time.Now()
+	for i := 0; time.Since(start) < 1200*time.Millisecond; i++ {
+		_, err := flow.Request([]byte(fmt.Sprint("x", i)), time.Second)
+		assert.NilError(t, err)
+		_, err = f.request(slips, fmt.Sprint("y", i))
+		assert.NilError(t, err)
+	}
+	f.chosen.Store(f.instances[1]) // the fabric has noticed
+	assert.NilError(t, <-leaving.done)
+	_, err = flow.Request([]byte("last"), time.Second)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(leaving.log.String(), "msg=stopped"))
+	f.checkTargets()
+}
+
+// Guards against new flows to a draining target, and against a flow that the
+// drain breaks.
+func TestDrain(t *testing.T) {
+	f := newFleet(t, 1)
+	flow, err := f.caller.Open(counter)
+	assert.NilError(t, err)
+	answer, err := flow.Request([]byte("a"), time.Second)
+	assert.NilError(t, err)
+	draining := f.targets[0]
+	if strings.Contains(string(answer), f.targets[1].ID) {
+		draining = f.targets[1]
+	}
+	f.store.PutTarget(draining, "draining")
+	f.eventually(func() bool { return strings.Contains(f.instances[0].log.String(), "state=draining") }, "the drain is known")
+	before, _, _, _ := draining.Seen()
+	for i := range 20 {
+		_, err := f.request(counter, fmt.Sprint("n", i))
+		assert.NilError(t, err)
+	}
+	after, _, _, _ := draining.Seen()
+	assert.Equal(t, after, before)
+	_, err = flow.Request([]byte("b"), time.Second)
+	assert.NilError(t, err)
+	f.checkTargets()
+}
+
+// Guards against an instance that cannot start while the platform refuses it
+// although others know everything.
+func TestStartWhilePlatformRefuses(t *testing.T) {
+	f := newFleet(t, 2)
+	f.store.Refuse(http.StatusServiceUnavailable)
+	late := f.start()
+	f.chosen.Store(late)
+	_, err := f.request(counter, "x")
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(late.log.String(), `msg=source-changed instance=a-2 from="" to=a-`), late.log.String())
+}
+
+// Guards against a configuration that does not take effect after the history of
+// the platform is lost, and against flows that this breaks.
+func TestConfigAfterLostHistory(t *testing.T) {
+	f := newFleet(t, 2)
+	flow, err := f.caller.Open(counter)
+	assert.NilError(t, err)
+	f.store.Refuse(http.StatusServiceUnavailable)
+	f.store.PutConfig(7, platformtest.Route{IP: counter.Addr().String(), Port: int(counter.Port()), Service: "counter", Kind: "unsafe"})
+	f.store.Forget()
+	time.Sleep(300 * time.Millisecond)
+	f.store.Refuse(0)
+	for _, i := range f.instances {
+		f.eventually(func() bool {
+			return strings.Contains(i.log.String(), "msg=config-applied instance="+string(i.settings.Instance)+" version=7")
+		}, "version 7 is in force")
+	}
+	_, err = f.request(slips, "x")
+	assert.ErrorIs(t, err, platformtest.ErrReset)
+	_, err = flow.Request([]byte("a"), time.Second)
+	assert.NilError(t, err)
+	f.checkTargets()
+}
+
+// Pattern: a target falls silent. Guards against callers that wait for more than
+// one repeated opening.
+func TestSilentTarget(t *testing.T) {
+	f := newFleet(t, 1)
+	f.targets[0].Silence(true)
+	slow := 0
+	for i := range 30 {
+		start := time.Now()
+		_, err := f.request(counter, fmt.Sprint("x", i))
+		assert.NilError(t, err)
+		if time.Since(start) > 150*time.Millisecond {
+			slow++
+		}
+	}
+	assert.Assert(t, slow <= 2, "%d of 30 requests waited", slow)
+	f.checkTargets()
+}
