passthrough: reset flows whose target is gone

Cause: after a target crashed or left, callers with a long flow waited for their time budget although the record was known to be gone. Ruled out: treating a removal as certain in every case. A record that lapsed in an outage, or was overwritten, or whose target answered within three heartbeats may belong to a live target; those flows are still forwarded.

--- a/internal/fanout/state.go
+++ b/internal/fanout/state.go
@@ -24,7 +24,7 @@
 	revision       uint64
 	config         *passthrough.Config
 	configRevision uint64
-	targets        map[string]follow.Target // removed ones are absent
+	targets        map[string]follow.Target // absent when removed
 	log            []change                 // in the order of their revisions
 	floor          uint64                   // changes up to this revision are not in the log
 	confirmed      time.Time                // when the state was last known to be complete
@@ -56,7 +56,7 @@
 		s.config, s.configRevision = u.Config, u.Revision
 	}
 	for _, t := range u.Targets {
-		if t.Removed {
+		if t.Removed && !t.Unreadable {
 			delete(s.targets, t.Name)
 		} else {
 			s.targets[t.Name] = t
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -25,7 +25,10 @@
 	Name     string
 	Revision uint64 // of its last change
 	Removed  bool
-	Record   passthrough.TargetRecord
+	// Unreadable tells that the record of a removed target was replaced by
+	// something else; the target may be alive.
+	Unreadable bool
+	Record     passthrough.TargetRecord
 }
 
 // Invalid is an entry that could not be read.
--- a/internal/forwarder/forward.go
+++ b/internal/forwarder/forward.go
@@ -67,24 +67,22 @@
 	if u.Config != nil {
 		f.core.Config(u.Config)
 	}
-	if u.Complete {
-		var list []passthrough.TargetRecord
-		for i := range u.Targets {
-			if !u.Targets[i].Removed {
-				list = append(list, u.Targets[i].Record)
-			}
-		}
-		f.core.Replace(now, list)
-	} else {
-		for i := range u.Targets {
-			t := &u.Targets[i]
-			if t.Removed {
-				f.core.Remove(now, t.Name)
-			} else {
-				f.core.Put(now, &t.Record)
-			}
+	var present []passthrough.TargetRecord // of a complete update
+	for i := range u.Targets {
+		switch t := &u.Targets[i]; {
+		case t.Unreadable:
+			f.core.Disregard(now, t.Name)
+		case t.Removed:
+			f.core.Remove(now, t.Name)
+		case u.Complete:
+			present = append(present, t.Record)
+		default:
+			f.core.Put(now, &t.Record)
 		}
 	}
+	if u.Complete {
+		f.core.Replace(now, present)
+	}
 	f.core.Tick(now)
 	if f.core.Version() != 0 {
 		f.fire(chart.InstanceReady)
--- a/internal/passthrough/core.go
+++ b/internal/passthrough/core.go
@@ -67,13 +67,14 @@
 	NoTarget                    // the service has no target
 	UnknownCookie               // the cookie names no known target
 	NoCookie                    // not an opening packet, and without a cookie
+	TargetGone                  // the target of the open flow has ended
 	reasons
 )
 
 // Reasons is the number of reasons.
 const Reasons = int(reasons)
 
-var reasonNames = [...]string{"known", "placed", "replaced", "repeated", "no_config", "no_route", "route_dropped", "no_target", "unknown_cookie", "no_cookie"}
+var reasonNames = [...]string{"known", "placed", "replaced", "repeated", "no_config", "no_route", "route_dropped", "no_target", "unknown_cookie", "no_cookie", "target_gone"}
 
 func (r Reason) String() string { return reasonNames[r] }
 
@@ -116,6 +117,12 @@
 	if t == nil {
 		return Decision{Reason: UnknownCookie}
 	}
+	if t.dead(now) && !p.Flags.Has(RST) {
+		if f := c.flows.get(p.Flow); f != nil {
+			c.release(f)
+		}
+		return Decision{Verdict: Reset, Reason: TargetGone, Target: t.Name, Service: t.Service}
+	}
 	d := c.forward(t, Known)
 	c.observe(now, p, t, &d)
 	return d
--- a/internal/passthrough/learn.go
+++ b/internal/passthrough/learn.go
@@ -49,7 +49,7 @@
 	if t == nil || t.lifecycle.State() == chart.BackendGone || t.missingSince != 0 {
 		return
 	}
-	if c.outageEnd != 0 && now.Sub(c.outageEnd) < lapseGrace && !t.Draining {
+	if c.outageEnd != 0 && now.Sub(c.outageEnd) < lapseGrace {
 		t.missingSince = now
 		c.note(Event{Kind: TargetLapsed, Target: name, Service: t.Service})
 		return
@@ -57,8 +57,20 @@
 	c.remove(now, t)
 }
 
+// Disregard records that the entry of a target cannot be read any more. The
+// target gets no new flows, but it may be alive.
+func (c *Core) Disregard(now ids.Time, name string) {
+	if t := c.targets.byName[name]; t != nil && t.lifecycle.State() != chart.BackendGone {
+		c.remove(now, t)
+		t.ended = false
+	}
+}
+
+// remove ends the use of t, whose record has disappeared while the platform was
+// up: it has left, or was silent for several heartbeats.
 func (c *Core) remove(now ids.Time, t *target) {
 	c.targets.remove(t)
+	t.ended = true
 	c.gone = append(c.gone, removal{t.Name, t.Born, now})
 	c.note(Event{Kind: TargetChanged, Target: t.Name, Service: t.Service, Reason: c.lifecycle(t), Address: t.Address})
 }
@@ -98,7 +110,7 @@
 		if t == nil {
 			continue
 		}
-		if t.missingSince != 0 && t.usable() && now.Sub(c.outageEnd) >= lapseGrace {
+		if t.missingSince != 0 && t.lifecycle.State() != chart.BackendGone && now.Sub(c.outageEnd) >= lapseGrace {
 			c.remove(now, t)
 		}
 		if t.lifecycle.State() == chart.BackendStarting && !now.Before(t.coldUntil) {
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -30,6 +30,7 @@
 	// missingSince is when the record disappeared after the platform had been
 	// away; zero while the record is there.
 	missingSince ids.Time
+	ended        bool // its record disappeared while the platform was up
 	// retryAt is when a suspected target may get a flow again.
 	retryAt  ids.Time
 	retries  int // since the last sign of life
@@ -49,6 +50,17 @@
 	return !t.shadowed && (s == chart.BackendStarting || s == chart.BackendServing)
 }
 
+// recentLife is the time since the last sign of life within which a target is
+// not taken for dead although its record has lapsed: three heartbeats. It may
+// merely be cut off from the platform.
+const recentLife = 2300 * time.Millisecond
+
+// dead reports whether no packet of its flows will be answered any more, so
+// that their callers are better off with a reset.
+func (t *target) dead(now ids.Time) bool {
+	return t.ended && (t.Draining || t.lastLife == 0 || now.Sub(t.lastLife) > recentLife)
+}
+
 // targetTable holds the backend servers by cookie and by service.
 type targetTable struct {
 	byName    map[string]*target
@@ -93,7 +105,7 @@
 		tt.unlist(t, t.Service)
 	}
 	t.TargetRecord = *r
-	t.missingSince = 0
+	t.missingSince, t.ended = 0, false
 	t.coldUntil = now.Add(r.Cold)
 	switch {
 	case r.Draining:
