--- a/cmd/arbutusdock/explain.go
+++ b/cmd/arbutusdock/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/url"
@@ -12,7 +13,9 @@
 
 type explainCommand struct {
 	Admin   string `arg:"--admin" default:"127.0.0.1:7201" help:"admin address of the instance that receives the request" placeholder:"IP:PORT"`
-	Service string `arg:"--service,required" help:"service name"`
+	Service string `arg:"--service" help:"service name"`
+	To      string `arg:"--to" help:"address to which the caller opened a pass-through flow; --admin is then a metrics address" placeholder:"IP:PORT"`
+	Cookie  uint32 `arg:"--cookie" help:"routing cookie of an open pass-through flow, as the log shows it; 0 for a new flow"`
 	Caller  string `arg:"--caller" default:"127.0.0.1:5683" help:"endpoint of the caller" placeholder:"IP:PORT"`
 	Method  string `arg:"--method" default:"GET" help:"CoAP method"`
 	Path    string `arg:"--path" help:"Uri-Path"`
@@ -21,6 +24,12 @@
 }
 
 func (c *explainCommand) run(out io.Writer) error {
+	if (c.Service == "") == (c.To == "") {
+		return errors.New("either --service or --to is needed")
+	}
+	if c.To != "" {
+		return c.explainFlow(out)
+	}
 	values := url.Values{"service": {c.Service}, "caller": {c.Caller}, "method": {c.Method}, "path": {c.Path}, "host": {c.Host}}
 	var x core.Explanation
 	if err := query(c.Admin, "/v1/explain", values, &x); err != nil {
--- /dev/null
+++ b/cmd/arbutusdock/flows.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/url"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/forwarder"
+	"arbutusdock.example/arbutusdock/internal/passthrough"
+)
+
+// showFlows prints the state of pass-through instances.
+func (c *showCommand) showFlows(out io.Writer) error {
+	states := make([]forwarder.State, len(c.Admin))
+	for i, address := range c.Admin {
+		if err := query(address, "/v1/state", nil, &states[i]); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		return printJSON(out, states)
+	}
+	for i := range states {
+		s := &states[i]
+		_, _ = fmt.Fprintf(out, "instance %s  data centre %s  in rotation: %v\n", s.Instance, s.DataCentre, s.Serving)
+		_, _ = fmt.Fprintf(out, "configuration version %d with %d routes  news from %s, %s old  flows remembered %d\n",
+			s.Version, s.Routes, s.Source, s.NewsAge.Round(time.Millisecond), s.Flows)
+		if err := showFlowTargets(out, "BACKEND SERVERS", s.Targets); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func showFlowTargets(out io.Writer, title string, targets []passthrough.TargetState) error {
+	const header = "SERVICE\tTARGET\tDATA CENTRE\tADDRESS\tCOOKIE\tLIFECYCLE\tSUSPECTED\tREQUESTS\tFLOWS\tLOAD"
+	return table(out, title, header, func(row func(string, ...any)) {
+		for _, t := range targets {
+			suspected := "no"
+			if t.Suspected {
+				suspected = "retry in " + t.RetryIn.Round(time.Millisecond).String()
+			}
+			row("%s\t%s\t%s\t%s\t%d\t%s\t%s\t%d\t%d\t%.2f", t.Service, t.Name, t.DataCentre, t.Address, t.Cookie, t.Lifecycle, suspected, t.Busy, t.Flows, t.Load)
+		}
+	})
+}
+
+// explainFlow prints where a packet of a pass-through flow would go.
+func (c *explainCommand) explainFlow(out io.Writer) error {
+	values := url.Values{"caller": {c.Caller}, "to": {c.To}, "cookie": {strconv.FormatUint(uint64(c.Cookie), 10)}}
+	var x passthrough.Explanation
+	if err := query(c.Admin, "/v1/explain", values, &x); err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(out, x)
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	row := func(name string, value any) { _, _ = fmt.Fprintf(w, "%s\t%v\n", name, value) }
+	row("verdict", x.Verdict)
+	row("reason", x.Reason)
+	row("route", orNone(x.Route))
+	row("service", orNone(string(x.Service)))
+	row("configuration version", x.Version)
+	row("target", orNone(x.Target))
+	if err := w.Flush(); err != nil || len(x.Candidates) == 0 {
+		return err
+	}
+	return showFlowTargets(out, "CANDIDATES", x.Candidates)
+}
--- a/cmd/arbutusdock/show.go
+++ b/cmd/arbutusdock/show.go
@@ -14,6 +14,7 @@
 
 type showCommand struct {
 	Admin []string `arg:"positional" help:"admin addresses of the instances (default 127.0.0.1:7201)" placeholder:"IP:PORT"`
+	Flows bool     `arg:"--flows" help:"the addresses are metrics addresses of pass-through instances"`
 	JSON  bool     `arg:"--json" help:"print JSON"`
 }
 
@@ -21,6 +22,9 @@
 	if len(c.Admin) == 0 {
 		c.Admin = []string{"127.0.0.1:7201"}
 	}
+	if c.Flows {
+		return c.showFlows(out)
+	}
 	states := make([]daemon.State, len(c.Admin))
 	for i, address := range c.Admin {
 		if err := query(address, "/v1/state", nil, &states[i]); err != nil {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -17,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"arbutusdock.example/arbutusdock/internal/ids"
+	"arbutusdock.example/arbutusdock/internal/passthrough"
 	"arbutusdock.example/arbutusdock/internal/settings"
 	"arbutusdock.example/arbutusdock/platform/platformtest"
 )
@@ -298,3 +301,50 @@
 	assert.Assert(t, slow <= 2, "%d of 30 requests waited", slow)
 	f.checkTargets()
 }
+
+// Guards against metrics, a state or an explanation that cannot be read while
+// packets are forwarded, or that tell something else than what happens.
+func TestAdminInterface(t *testing.T) {
+	f := newFleet(t, 1)
+	_, err := f.request(counter, "x")
+	assert.NilError(t, err)
+	get := func(path string) string {
+		response, err := http.Get("http://" + f.instances[0].settings.Metrics.String() + path)
+		assert.NilError(t, err)
+		defer func() { _ = response.Body.Close() }()
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		return string(body)
+	}
+	page := get("/metrics")
+	for _, want := range []string{`arbutusdock_packets_total{reason="placed"} 1`, "arbutusdock_opening_seconds_count 1",
+		"arbutusdock_request_seconds_count 1", "arbutusdock_ready 1", `arbutusdock_news_total{result="ok",source="platform"}`} {
+		assert.Assert(t, strings.Contains(page, want), "%s missing in\n%s", want, page)
+	}
+	var s State
+	assert.NilError(t, json.Unmarshal([]byte(get("/v1/state")), &s))
+	assert.Equal(t, s.Version, uint64(1))
+	assert.Equal(t, len(s.Targets), 4)
+	var x passthrough.Explanation
+	assert.NilError(t, json.Unmarshal([]byte(get("/v1/explain?caller=127.0.1.1:5000&to=198.18.0.1:443")), &x))
+	assert.Equal(t, x.Verdict+" "+x.Reason+" "+string(x.Service), "forward placed counter")
+	assert.Equal(t, len(x.Candidates), 2)
+	assert.Assert(t, strings.Contains(get("/v1/explain?caller=x&to=y"), "must be an IPv4 address and port"))
+}
+
+// Guards against log lines without bound under load, and against a count of
+// lines left out that is lost.
+func TestLogLimit(t *testing.T) {
+	l := limiter{rate: 3}
+	written := 0
+	for range 10 {
+		if ok, left := l.admit(1e9); ok {
+			written++
+			assert.Equal(t, left, 0)
+		}
+	}
+	assert.Equal(t, written, 3)
+	ok, left := l.admit(2e9 + 1)
+	assert.Assert(t, ok)
+	assert.Equal(t, left, 7)
+}
