passthrough: liveness checks of suspected targets, resets of flows that cannot be answered

Ruled out: reaction to the record alone, which lapses 2.3 s later, after the budget.

No such process: its flows are reset and it gets no more. No answer while others answer: packets with requests are reset. A sign of life ends both. Two packets with data repeated to a target without a sign of life between them now suffice for suspicion.

--- a/internal/forwarder/forward.go
+++ b/internal/forwarder/forward.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/netip"
@@ -19,13 +20,14 @@
 const readPause = 10 * time.Millisecond
 
 // forward reads and decides until the socket is closed. It alone uses the core.
-func (f *Forwarder) forward() error {
+func (f *Forwarder) forward(ctx context.Context) error {
 	buffer := make([]byte, platform.MaxDatagram)
 	packet := buffer[platform.Headroom:]
 	for {
 		n, _, err := f.conn.ReadFromUDPAddrPort(packet)
 		if err == nil {
 			f.packet(buffer[:platform.Headroom+n])
+			f.core.Checks(func(k passthrough.Check) { f.check(ctx, k) })
 			continue
 		}
 		switch {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -56,6 +56,7 @@
 	core     *passthrough.Core
 	commands *ring.Ring[func()] // run by the forwarding goroutine
 	state    *fanout.State
+	checker  *checker
 	peers    *fanout.Source // nil without an interface between instances
 	clock    clock
 	metrics  *metrics
@@ -135,6 +136,7 @@
 	}
 	defer func() { _ = probe.Close() }() // the process ends
 	f.log.Info("started", "data_centre", f.settings.DataCentre, "listen", f.settings.Listen, "platform", f.settings.Platform)
+	f.checker = newChecker(ctx)
 	source, err := f.source(ctx)
 	if err != nil {
 		_ = f.conn.Close() // nothing was served yet
@@ -148,7 +150,7 @@
 	go follower.Run(ctx)
 	go f.awaitStop(ctx)
 	go f.watchSettings(ctx)
-	err = f.forward()
+	err = f.forward(ctx)
 	f.log.Info("stopped", "packets", f.received.Load(), "log_lines_dropped", f.out.Stats().Dropped)
 	return err
 }
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -17,7 +17,7 @@
 	packets                            [passthrough.Reasons]prometheus.Counter
 	adopted                            prometheus.Counter
 	forwarding, answered, served       prometheus.Histogram
-	calls                              *prometheus.CounterVec
+	calls, checks                      *prometheus.CounterVec
 }
 
 func newMetrics(f *Forwarder) *metrics {
@@ -48,7 +48,8 @@
 		m.packets[r] = packets.WithLabelValues(r.String())
 	}
 	m.calls = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "arbutusdock_news_total", Help: "Reads of what is published, by source and result."}, []string{"source", "result"})
-	m.registry.MustRegister(m.calls)
+	m.checks = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "arbutusdock_checks_total", Help: "Liveness checks of suspected targets by result."}, []string{"result"})
+	m.registry.MustRegister(m.calls, m.checks)
 	m.forwarding = histogram("forwarding_seconds", "Time from reading a packet to having sent it.", 1e-6, 16)
 	m.answered = histogram("opening_seconds", "Time from an opening packet to the caller's next packet.", 1e-3, 12)
 	m.served = histogram("request_seconds", "Time from a request to the first acknowledged byte of its answer.", 1e-3, 14)
--- a/internal/passthrough/config.go
+++ b/internal/passthrough/config.go
@@ -26,6 +26,8 @@
 	Version     uint64
 	Routes      []Route
 	IdleTimeout time.Duration // a flow that is idle for longer may be forgotten
+	// Health holds the path of the liveness check of each service.
+	Health map[ids.Service]string
 }
 
 // routeTable holds the routes of the version in force. It never goes back to an
@@ -34,6 +36,7 @@
 	version uint64
 	idle    time.Duration
 	routes  map[Endpoint]*Route
+	health  map[ids.Service]string
 }
 
 // apply puts c in force unless it is not newer than the present version.
@@ -41,7 +44,7 @@
 	if t.routes != nil && c.Version <= t.version {
 		return false
 	}
-	t.version, t.idle = c.Version, c.IdleTimeout
+	t.version, t.idle, t.health = c.Version, c.IdleTimeout, c.Health
 	t.routes = make(map[Endpoint]*Route, len(c.Routes))
 	for i := range c.Routes {
 		t.routes[c.Routes[i].Address] = &c.Routes[i]
--- a/internal/passthrough/core.go
+++ b/internal/passthrough/core.go
@@ -24,11 +24,13 @@
 	openings openings
 	random   uint64
 	events   []Event
+	checks   []Check
 	gone     []removal            // targets whose cookies are kept for their open flows
 	lengths  map[Endpoint]float64 // by route: smoothed number of requests of a flow
 
 	instances int // that share the callers of the data centre
 
+	lastLife  ids.Time // last sign of life of any target
 	outageEnd ids.Time // when the platform answered again after an outage
 	swept     ids.Time
 }
@@ -120,7 +122,7 @@
 	if t == nil {
 		return Decision{Reason: UnknownCookie}
 	}
-	if t.dead(now) && !p.Flags.Has(RST) {
+	if t.dead(now, p) {
 		if f := c.flows.get(p.Flow); f != nil {
 			c.release(f)
 		}
@@ -222,7 +224,7 @@
 		return
 	}
 	if progress := int32(p.Ack - f.ack); progress > 0 {
-		f.ack, f.repeats = p.Ack, 0
+		f.ack = p.Ack
 		if f.busy {
 			d.Served = now.Sub(f.requested)
 		}
@@ -246,7 +248,7 @@
 		}
 		return
 	}
-	if f.repeats++; f.repeats >= 2 {
+	if t.repeats++; t.repeats >= 2 {
 		c.failed(now, t, f.requested, "data repeated")
 	}
 }
--- a/internal/passthrough/core_test.go
+++ b/internal/passthrough/core_test.go
@@ -25,7 +25,7 @@
 func init() { _ = flag.Set("rapid.seed", "1") }
 
 func testConfig(version uint64) *Config {
-	return &Config{Version: version, IdleTimeout: 15 * time.Second, Routes: []Route{
+	return &Config{Version: version, IdleTimeout: 15 * time.Second, Health: map[ids.Service]string{"counter": "/health"}, Routes: []Route{
 		{Name: "counter", Address: counterAt, Splits: []Split{{"counter", 1}}, Timeout: 1500 * ms},
 		{Name: "slips", Address: slipsAt, Splits: []Split{{"slips", 1}}, Timeout: 5 * time.Second},
 	}}
@@ -402,3 +402,60 @@
 		})
 	}
 }
+
+// Pattern: targets crash or fall silent with long flows open. Guards against
+// callers whose requests wait for their time-out although a check has shown that
+// the target is gone, and against resets because this instance is cut off, the
+// check is out of date or the target has shown that it is alive.
+func TestCheckOfSuspectedTarget(t *testing.T) {
+	for name, test := range map[string]struct {
+		result   CheckResult
+		others   bool // show signs of life
+		life     bool // of the target, after the check began
+		idle     bool // the packet has no data
+		born     int64
+		want     Verdict
+		newFlows bool // are still placed there once its retry is due
+	}{
+		"refused":              {result: CheckRefused, want: Reset},
+		"refused, idle":        {result: CheckRefused, idle: true, want: Reset},
+		"refused, alive":       {result: CheckRefused, life: true, want: Forward, newFlows: true},
+		"refused, other run":   {result: CheckRefused, born: 9, want: Forward, newFlows: true},
+		"silent":               {result: CheckSilent, others: true, want: Reset, newFlows: true},
+		"silent, idle":         {result: CheckSilent, others: true, idle: true, want: Forward, newFlows: true},
+		"silent, cut off here": {result: CheckSilent, want: Forward, newFlows: true},
+		"answered":             {result: CheckAnswered, others: true, want: Forward, newFlows: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := testCore()
+			f := flowOf(1, counterAt)
+			d := open(t, c, origin, f)
+			now := origin.Add(time.Second)
+			p := request(f, d.Cookie)
+			p.Seq = 151
+			c.Packet(now, p)
+			c.Packet(now.Add(200*ms), p)
+			c.Packet(now.Add(600*ms), p)
+			var checks []Check
+			c.Checks(func(k Check) { checks = append(checks, k) })
+			assert.Equal(t, len(checks), 1)
+			assert.Equal(t, checks[0].Target, d.Target)
+			began := now.Add(600 * ms)
+			checks[0].Born = test.born
+			now = now.Add(700 * ms)
+			if test.others {
+				c.alive(now, c.targets.byName["slips-3"])
+			}
+			if test.life {
+				c.alive(now, c.targets.byName[d.Target])
+			}
+			now = now.Add(100 * ms)
+			c.Checked(now, checks[0], began, test.result)
+			if test.idle {
+				p.Length = 0
+			}
+			assert.Equal(t, c.Packet(now, p).Verdict, test.want)
+			assert.Equal(t, c.targets.byName[d.Target].usable(), test.newFlows)
+		})
+	}
+}
--- a/internal/passthrough/event.go
+++ b/internal/passthrough/event.go
@@ -16,9 +16,10 @@
 	TargetLapsed                     // the record is missing after an outage of the platform
 	TargetSuspected                  // a target gets no new flows for a while
 	TargetTrusted                    // a suspected target has shown that it is alive
+	TargetChecked                    // a liveness check found it gone or out of reach
 )
 
-var eventNames = [...]string{"config-applied", "target-changed", "target-lapsed", "target-suspected", "target-trusted"}
+var eventNames = [...]string{"config-applied", "target-changed", "target-lapsed", "target-suspected", "target-trusted", "target-checked"}
 
 func (k EventKind) String() string { return eventNames[k] }
 
@@ -29,7 +30,7 @@
 	Target       string
 	Service      ids.Service
 	Address      Endpoint
-	Reason       string        // new state of the target, or why it is suspected
+	Reason       string        // new state of the target, why it is suspected, or the outcome of a check
 	Age          time.Duration // of the evidence
 	Version, Old uint64        // of the configuration
 	Count        int           // routes
--- a/internal/passthrough/flow.go
+++ b/internal/passthrough/flow.go
@@ -21,7 +21,6 @@
 	key       FlowKey
 	state     flowState
 	busy      bool   // a request is in progress
-	repeats   uint8  // repetitions of the data at nextSeq without progress
 	requests  uint16 // seen so far
 	target    int32  // index of the target
 	run       uint32 // of the target
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -31,6 +31,9 @@
 	// away; zero while the record is there.
 	missingSince ids.Time
 	ended        bool // its record disappeared while the platform was up
+	refused      bool // a check found no such process at its address
+	silent       bool // a check found it out of reach
+	repeats      int  // packets with data repeated to it since the last sign of life
 	// retryAt is when a suspected target may get a flow again.
 	retryAt  ids.Time
 	retries  int // since the last sign of life
@@ -57,7 +60,7 @@
 // usable reports whether the target may get new flows at all.
 func (t *target) usable() bool {
 	s := t.lifecycle.State()
-	return !t.shadowed && (s == chart.BackendStarting || s == chart.BackendServing)
+	return !t.shadowed && !t.refused && (s == chart.BackendStarting || s == chart.BackendServing)
 }
 
 // recentLife is the time since the last sign of life within which a target is
@@ -65,9 +68,18 @@
 // merely be cut off from the platform.
 const recentLife = 2300 * time.Millisecond
 
-// dead reports whether no packet of its flows will be answered any more, so
-// that their callers are better off with a reset.
-func (t *target) dead(now ids.Time) bool {
+// dead reports whether p, a packet of one of its flows, will not be answered any
+// more, so that the caller is better off with a reset. Where the target is out
+// of reach this is said of requests only: a flow without one may outlast that.
+func (t *target) dead(now ids.Time, p *Packet) bool {
+	switch {
+	case p.Flags.Has(RST):
+		return false
+	case t.refused:
+		return true
+	case t.silent:
+		return p.Length > 0
+	}
 	return t.ended && (t.Draining || t.lastLife == 0 || now.Sub(t.lastLife) > recentLife)
 }
 
@@ -121,6 +133,9 @@
 		t.unlist()
 	}
 	t.TargetRecord = *r
+	if changed {
+		t.refused, t.silent = false, false // it has written since
+	}
 	t.missingSince, t.ended = 0, false
 	t.coldUntil = now.Add(r.Cold)
 	switch {
--- a/internal/passthrough/trust.go
+++ b/internal/passthrough/trust.go
@@ -76,6 +76,9 @@
 	t.trust.Fire(chart.SuspicionSilent)
 	t.retry(now)
 	c.note(Event{Kind: TargetSuspected, Target: t.Name, Service: t.Service, Reason: reason, Age: now.Sub(sent)})
+	if path := c.routes.health[t.Service]; path != "" && len(c.checks) < MaxChecks {
+		c.checks = append(c.checks, Check{Target: t.Name, Born: t.Born, Address: t.Address, Path: path})
+	}
 }
 
 // retry sets the time at which the suspected t may get a flow again.
@@ -86,10 +89,68 @@
 
 // alive records a sign of life of t.
 func (c *Core) alive(now ids.Time, t *target) {
+	c.lastLife = now
 	t.lastLife = now
-	t.retries = 0
+	t.retries, t.repeats = 0, 0
+	t.silent, t.refused = false, false
 	if t.trust.State() == chart.Suspected {
 		t.trust.Fire(chart.SuspicionRefute)
 		c.note(Event{Kind: TargetTrusted, Target: t.Name, Service: t.Service})
+		c.targets.list(t)
+	}
+}
+
+// MaxChecks bounds the liveness checks that wait to be carried out.
+const MaxChecks = 64
+
+// Check is a liveness check of a suspected target that the caller of the core
+// is to carry out.
+type Check struct {
+	Target  string
+	Born    int64
+	Address Endpoint
+	Path    string
+}
+
+// Checks calls f with each liveness check that is due since the last call.
+func (c *Core) Checks(f func(Check)) {
+	for _, k := range c.checks {
+		f(k)
+	}
+	c.checks = c.checks[:0]
+}
+
+// CheckResult is the outcome of a liveness check.
+type CheckResult uint8
+
+// Outcomes of a liveness check. What a target says of its health is not used:
+// it may be wrong either way, and what callers see counts more.
+const (
+	CheckAnswered CheckResult = iota // the target has answered, whatever it said
+	CheckRefused                     // there is no such process at its address
+	CheckSilent                      // no answer in time
+)
+
+var checkNames = [...]string{"answered", "refused", "silent"}
+
+func (r CheckResult) String() string { return checkNames[r] }
+
+// Checked records the outcome of a check that began at a time. A refused target
+// has ended. A silent one is out of reach if others have shown signs of life
+// meanwhile; without these this instance itself may be cut off.
+func (c *Core) Checked(now ids.Time, k Check, began ids.Time, result CheckResult) {
+	t := c.targets.byName[k.Target]
+	if t == nil || t.Born != k.Born || t.lastLife >= began {
+		return
+	}
+	switch {
+	case result == CheckRefused:
+		t.refused = true
+		c.targets.list(t)
+	case result == CheckSilent && c.lastLife > began:
+		t.silent = true
+	default:
+		return
 	}
+	c.note(Event{Kind: TargetChecked, Target: t.Name, Service: t.Service, Reason: result.String(), Age: now.Sub(began)})
 }
