soak: real daemons under faults from outside

Runs instances of two data centres as processes, with proxies in front of their store and control connections, and checks what callers and servers see.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -113,6 +113,7 @@
 		Metrics:     netip.AddrPortFrom(ip, tcp+2),
 		ApplyWithin: 3 * time.Second, Grace: 6 * time.Second, FlowLife: time.Minute, Log: settings.Log{Level: slog.LevelDebug},
 	}
+	s.Advertise = s.Control
 	if n > 0 {
 		s.Seeds = f.instances[0].settings.Control.String()
 	} else {
--- a/internal/forwarder/interfaces.go
+++ b/internal/forwarder/interfaces.go
@@ -61,7 +61,7 @@
 	timing := follow.TimingFor(f.settings.ApplyWithin)
 	source := fanout.NewSource(store, fanout.Config{
 		DataCentre: f.settings.DataCentre,
-		Self:       fanout.Instance{ID: f.settings.Instance, Address: f.settings.Control},
+		Self:       fanout.Instance{ID: f.settings.Instance, Address: f.settings.Advertise},
 		Seeds:      strings.FieldsFunc(f.settings.Seeds, func(r rune) bool { return r == ',' }),
 		MaxAge:     timing.Wait + timing.Slack,
 		Log:        f.log,
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -19,7 +19,9 @@
 	Metrics  netip.AddrPort // metrics and admin interface; invalid for none
 	Platform netip.AddrPort // store that is read
 	Control  netip.AddrPort // interface between instances; invalid for none
-	Seeds    string         // control addresses of instances, joined by commas
+	// Advertise is the address under which other instances reach Control.
+	Advertise netip.AddrPort
+	Seeds     string // control addresses of instances, joined by commas
 
 	ApplyWithin time.Duration // bound for a publication to be in force
 	Grace       time.Duration // from SIGTERM to the forced end
@@ -44,6 +46,7 @@
 		FlowLife:    r.duration("passthrough.flow_life", time.Minute, time.Second, 24*time.Hour),
 		MemoryBytes: r.integer("passthrough.memory_mb", 0, 0, 1<<20) << 20,
 	}
+	p.Advertise = r.addrPort("passthrough.advertise", p.Control)
 	parseLog(r, &p.Log)
 	return p
 }
--- /dev/null
+++ b/soak/proxy_test.go
@@ -0,0 +1,154 @@
+package soak
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// mode is what a proxy does to connections.
+type mode int32
+
+const (
+	pass   mode = iota
+	slow        // each read is held for slowBy
+	refuse      // connections are reset, and new ones closed at once
+	silent      // nothing passes, and nothing is closed
+	oneWay      // only what the dialling side sends passes
+	modes       // number of modes
+)
+
+// slowBy is the delay of a slow proxy in each direction.
+const slowBy = 120 * time.Millisecond
+
+// proxy is a loopback proxy in front of one address.
+type proxy struct {
+	listener net.Listener
+	to       string
+	mode     atomic.Int32
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+	// muted holds connections that were silenced for good.
+	muted map[net.Conn]bool
+}
+
+func newProxy(at, to string) (*proxy, error) {
+	listener, err := net.Listen("tcp4", at)
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: listener, to: to, conns: map[net.Conn]bool{}, muted: map[net.Conn]bool{}}
+	go p.serve()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) serve() {
+	for {
+		in, err := p.listener.Accept()
+		if err != nil {
+			return // closed
+		}
+		if mode(p.mode.Load()) == refuse {
+			reset(in)
+			continue
+		}
+		out, err := net.Dial("tcp4", p.to)
+		if err != nil {
+			reset(in)
+			continue
+		}
+		p.mu.Lock()
+		p.conns[in], p.conns[out] = true, true
+		p.mu.Unlock()
+		go p.copy(out, in, true)
+		go p.copy(in, out, false)
+	}
+}
+
+// copy passes bytes from one side to the other as the mode says.
+func (p *proxy) copy(to, from net.Conn, forward bool) {
+	defer p.drop(to, from)
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		for m := mode(p.mode.Load()); m == silent || (m == oneWay && !forward) || p.isMuted(from); m = mode(p.mode.Load()) {
+			time.Sleep(20 * time.Millisecond)
+			if p.closed(from) {
+				return
+			}
+		}
+		if mode(p.mode.Load()) == slow {
+			time.Sleep(slowBy)
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (p *proxy) isMuted(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.muted[c]
+}
+
+func (p *proxy) closed(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.conns[c]
+}
+
+func (p *proxy) drop(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		delete(p.conns, c)
+		delete(p.muted, c)
+		_ = c.Close()
+	}
+}
+
+// set changes the mode. A proxy that refuses resets what is open.
+func (p *proxy) set(m mode) {
+	p.mode.Store(int32(m))
+	if m == refuse {
+		p.resetOpen()
+	}
+}
+
+func (p *proxy) resetOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		reset(c)
+	}
+}
+
+// muteOpen silences the open connections for good; new ones work.
+func (p *proxy) muteOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.muted[c] = true
+	}
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.resetOpen()
+}
+
+// reset closes a connection with RST in place of FIN.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,457 @@
+// Package soak runs real daemons as separate processes, injects faults from
+// outside by signals and loopback proxies in series that overlap, and checks
+// while they run what callers and backend servers see.
+//
+// A run without settings plays the seeds of CI and those that ever failed
+// (testdata/seeds.txt). SOAK_SEEDS=1-50 plays others, SOAK_TIME=60s runs each
+// longer, SOAK_INSTANCES=20 takes as many instances in each data centre.
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"arbutusdock.example/arbutusdock/platform/platformtest"
+)
+
+const (
+	ciTime     = 10 * time.Second // of faults, in a run without settings
+	settleTime = 5 * time.Second  // after the last fault until everything is served
+	budget     = 2 * time.Second  // of a request
+	drainTime  = 3 * time.Second  // that a leaving target goes on serving
+	parallel   = 3                // seeds at a time
+)
+
+// service is a service with the targets that were ever started for it.
+type service struct {
+	name string
+	at   netip.AddrPort
+	kind string
+}
+
+var services = []service{
+	{"counter", netip.MustParseAddrPort("198.18.0.1:443"), "unsafe"},
+	{"slips", netip.MustParseAddrPort("198.18.0.2:443"), "download"},
+}
+
+// versionAddress returns the route that only this version has.
+func versionAddress(version int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("198.18.0.3"), uint16(10000+version))
+}
+
+// server is a backend server with what is known of its state.
+type server struct {
+	*platformtest.Target
+	drained   time.Time // when the store accepted that it leaves; zero before
+	disturbed time.Time // as of an instance; far ahead once it has ended
+	removed   time.Time // when a crashed server left the store
+}
+
+// soak is one run.
+type soak struct {
+	*fleet
+	seed    uint64
+	rng     *rand.Rand // of faults; used by one goroutine
+	end     time.Time  // of the load
+	callers map[string]*platformtest.Caller
+
+	mu        sync.Mutex
+	servers   map[string]*server // by ID
+	number    uint32
+	version   int
+	confirmed map[int]time.Time // by version
+	served    map[string]int
+	failures  []string
+}
+
+// far is later than the end of any run.
+const far = 24 * time.Hour
+
+func (s *soak) violation(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.failures) < 20 {
+		s.failures = append(s.failures, time.Now().UTC().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+	}
+}
+
+func TestSoak(t *testing.T) {
+	seeds, length, instances := options(t)
+	slots := make(chan struct{}, parallel)
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			play(t, seed, length, instances)
+		})
+	}
+}
+
+// options returns the seeds, the time of faults and the instances in each data
+// centre.
+func options(t *testing.T) (seeds []uint64, length time.Duration, instances int) {
+	length, instances = ciTime, 2
+	var err error
+	if text := os.Getenv("SOAK_TIME"); text != "" {
+		length, err = time.ParseDuration(text)
+		assert.NilError(t, err)
+	}
+	if text := os.Getenv("SOAK_INSTANCES"); text != "" {
+		instances, err = strconv.Atoi(text)
+		assert.NilError(t, err)
+	}
+	if text := os.Getenv("SOAK_SEEDS"); text != "" {
+		first, last, found := strings.Cut(text, "-")
+		if !found {
+			last = first
+		}
+		from, err := strconv.ParseUint(first, 10, 64)
+		assert.NilError(t, err)
+		to, err := strconv.ParseUint(last, 10, 64)
+		assert.NilError(t, err)
+		for seed := from; seed <= to; seed++ {
+			seeds = append(seeds, seed)
+		}
+		return seeds, length, instances
+	}
+	data, err := os.ReadFile("testdata/seeds.txt")
+	assert.NilError(t, err)
+	for line := range strings.Lines(string(data)) {
+		word, _, _ := strings.Cut(strings.TrimSpace(line), " ")
+		if word == "" || strings.HasPrefix(word, "#") {
+			continue
+		}
+		seed, err := strconv.ParseUint(word, 10, 64)
+		assert.NilError(t, err)
+		seeds = append(seeds, seed)
+	}
+	return seeds, length, instances
+}
+
+func play(t *testing.T, seed uint64, length time.Duration, instances int) {
+	s := &soak{fleet: newFleet(t, seed, instances), seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), callers: map[string]*platformtest.Caller{},
+		servers: map[string]*server{}, number: uint32(seed) << 8, confirmed: map[int]time.Time{}, served: map[string]int{}}
+	for _, sv := range services {
+		for n := range 4 {
+			s.addServer(sv.name, []string{"a", "b"}[n%2])
+		}
+	}
+	s.publish()
+	for n, dc := range []string{"a", "b"} {
+		c, err := platformtest.NewCaller(netip.AddrPortFrom(s.addr(2, n+1), datagramPort), s.route(dc))
+		assert.NilError(t, err)
+		t.Cleanup(c.Close)
+		s.callers[dc] = c
+	}
+	s.awaitRotation()
+	s.end = time.Now().Add(length + settleTime + 3*time.Second)
+	var load sync.WaitGroup
+	for dc, c := range s.callers {
+		for n := range 3 {
+			load.Go(func() { s.longCaller(dc, c, services[n%2]) })
+			load.Go(func() { s.shortCaller(dc, c, services[n%2]) })
+		}
+		load.Go(func() { s.versionCaller(dc, c) })
+	}
+	s.faults(length)
+	load.Wait()
+	s.checkEnd()
+	for _, f := range s.failures {
+		t.Error(f)
+	}
+	t.Logf("seed %d: served %v, version %d", seed, s.served, s.version)
+}
+
+func (s *soak) awaitRotation() {
+	for range 100 {
+		ready := 0
+		s.fleet.mu.Lock()
+		for _, i := range s.instances {
+			if i.inUse {
+				ready++
+			}
+		}
+		s.fleet.mu.Unlock()
+		if ready == len(s.instances) {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.t.Fatal("the instances are not ready within 10 s")
+}
+
+// addServer starts a backend server and publishes it.
+func (s *soak) addServer(name, dc string) *server {
+	s.mu.Lock()
+	s.number++
+	number := s.number
+	s.mu.Unlock()
+	target, err := platformtest.NewTarget(number, name, dc, datagramPort)
+	assert.NilError(s.t, err)
+	s.t.Cleanup(target.Close)
+	target.Delay = 2 * time.Millisecond
+	sv := &server{Target: target}
+	s.mu.Lock()
+	s.servers[target.ID] = sv
+	s.mu.Unlock()
+	s.store.PutTarget(target, "ready")
+	return sv
+}
+
+// publish confirms the next version of the configuration.
+func (s *soak) publish() {
+	s.mu.Lock()
+	s.version++
+	version := s.version
+	s.mu.Unlock()
+	routes := []platformtest.Route{}
+	for _, sv := range services {
+		routes = append(routes, platformtest.Route{IP: sv.at.Addr().String(), Port: int(sv.at.Port()), Service: sv.name, Kind: sv.kind})
+	}
+	at := versionAddress(version)
+	routes = append(routes, platformtest.Route{IP: at.Addr().String(), Port: int(at.Port()), Service: "slips", Kind: "safe"})
+	s.store.PutConfig(version, routes...)
+	s.mu.Lock()
+	s.confirmed[version] = time.Now()
+	s.mu.Unlock()
+}
+
+// disturbServer marks a server as disturbed for d.
+func (s *soak) disturbServer(sv *server, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if end := time.Now().Add(d); end.After(sv.disturbed) {
+		sv.disturbed = end
+	}
+}
+
+// pick returns a random ready server, or nil when its service has too few.
+func (s *soak) pick() *server {
+	name := services[s.rng.IntN(len(services))].name
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*server
+	for n := uint32(s.seed)<<8 + 1; n <= s.number; n++ {
+		sv := s.servers[fmt.Sprintf("i-%08x", n)]
+		if sv.Service == name && sv.drained.IsZero() && time.Since(sv.disturbed) > 0 {
+			list = append(list, sv)
+		}
+	}
+	if len(list) < 3 {
+		return nil
+	}
+	return list[s.rng.IntN(len(list))]
+}
+
+// faults injects faults until length is over. Their effects may outlast it.
+func (s *soak) faults(length time.Duration) {
+	var pending sync.WaitGroup
+	defer pending.Wait()
+	stop := time.Now().Add(length)
+	for time.Now().Before(stop) {
+		time.Sleep(time.Duration(50+s.rng.IntN(800)) * time.Millisecond)
+		i := s.instances[s.rng.IntN(len(s.instances))]
+		d := time.Duration(100+s.rng.IntN(2500)) * time.Millisecond
+		switch kind := s.rng.IntN(14); kind {
+		case 0:
+			pending.Go(func() { s.kill(i, d/2) })
+		case 1:
+			pending.Go(func() { s.stop(i, d/4) })
+		case 2:
+			pending.Go(func() { s.freeze(i, d) })
+		case 3:
+			s.signal(i, syscall.SIGHUP)
+		case 4, 5:
+			m := mode(1 + s.rng.IntN(int(modes)-1))
+			all := s.rng.IntN(3) == 0
+			pending.Go(func() { s.cutStore(i, m, all, d) })
+		case 6:
+			m := mode(1 + s.rng.IntN(int(modes)-1))
+			pending.Go(func() { s.cutControl(i, m, d) })
+		case 7:
+			for _, i := range s.instances {
+				s.disturb(i, 0)
+				i.store.muteOpen()
+				i.control.muteOpen()
+			}
+		case 8:
+			s.store.Forget()
+		case 9, 10:
+			for range 1 + s.rng.IntN(3) {
+				s.publish()
+				time.Sleep(time.Duration(s.rng.IntN(400)) * time.Millisecond)
+			}
+		case 11:
+			if sv := s.pick(); sv != nil {
+				pending.Go(func() { s.drain(sv) })
+			}
+		case 12:
+			if sv := s.pick(); sv != nil {
+				crash := s.rng.IntN(2) == 0
+				pending.Go(func() { s.lose(sv, crash) })
+			}
+		case 13:
+			pending.Go(func() { s.loseDatagrams(d) })
+		}
+	}
+}
+
+// kill ends a process without notice and starts it again.
+func (s *soak) kill(i *instance, down time.Duration) {
+	s.disturb(i, far)
+	s.signal(i, syscall.SIGKILL)
+	s.restart(i, down)
+}
+
+func (s *soak) restart(i *instance, down time.Duration) {
+	<-i.ended
+	time.Sleep(down)
+	s.start(i)
+	s.calmDown(i)
+}
+
+// calmDown ends a disturbance of unknown length.
+func (s *soak) calmDown(i *instance) {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	i.disturbed = time.Now()
+}
+
+// stop is a planned stop and a start. It must end in time and cut nothing.
+func (s *soak) stop(i *instance, down time.Duration) {
+	s.fleet.mu.Lock()
+	ended, paused := i.ended, time.Since(i.disturbed) < 0
+	s.fleet.mu.Unlock()
+	if paused {
+		return // another fault has the instance
+	}
+	s.signal(i, syscall.SIGTERM)
+	select {
+	case <-ended:
+	case <-time.After(grace):
+		s.violation("%s has not ended %s after SIGTERM", i.id, grace)
+		s.signal(i, syscall.SIGKILL)
+	}
+	s.disturb(i, far)
+	s.restart(i, down)
+}
+
+// freeze pauses a process.
+func (s *soak) freeze(i *instance, d time.Duration) {
+	s.disturb(i, far)
+	s.signal(i, syscall.SIGSTOP)
+	time.Sleep(d)
+	s.signal(i, syscall.SIGCONT)
+	s.calmDown(i)
+}
+
+// cutStore disturbs the connections of one or all instances to the store.
+func (s *soak) cutStore(i *instance, m mode, all bool, d time.Duration) {
+	list := []*instance{i}
+	if all {
+		list = s.instances
+	}
+	for _, i := range list {
+		s.disturb(i, d)
+		i.store.set(m)
+	}
+	time.Sleep(d)
+	for _, i := range list {
+		i.store.set(pass)
+	}
+}
+
+// cutControl disturbs the connections of other instances to one.
+func (s *soak) cutControl(i *instance, m mode, d time.Duration) {
+	for _, other := range s.instances {
+		s.disturb(other, d)
+	}
+	i.control.set(m)
+	time.Sleep(d)
+	i.control.set(pass)
+}
+
+// drain announces that a server leaves, and starts another one before.
+func (s *soak) drain(sv *server) {
+	s.addServer(sv.Service, sv.Zone)
+	s.store.PutTarget(sv.Target, "draining")
+	s.mu.Lock()
+	sv.drained = time.Now()
+	s.mu.Unlock()
+	time.Sleep(drainTime + applyWithin)
+	s.disturbServer(sv, far)
+	s.store.DeleteTarget(sv.Target)
+	sv.Close()
+}
+
+// lose makes a server fall silent for a time, or crash for good.
+func (s *soak) lose(sv *server, crash bool) {
+	s.disturbServer(sv, far)
+	if !crash {
+		sv.Silence(true)
+		time.Sleep(time.Second)
+		sv.Silence(false)
+		s.mu.Lock()
+		sv.disturbed = time.Now()
+		s.mu.Unlock()
+		return
+	}
+	sv.Close()
+	s.addServer(sv.Service, sv.Zone)
+	time.Sleep(2300 * time.Millisecond) // three heartbeats
+	s.store.DeleteTarget(sv.Target)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sv.removed = time.Now()
+}
+
+// loseDatagrams loses a part of the callers' datagrams.
+func (s *soak) loseDatagrams(d time.Duration) {
+	for _, i := range s.instances {
+		s.disturb(i, d)
+	}
+	s.setLoss(0.05)
+	time.Sleep(d)
+	s.setLoss(0)
+}
+
+func (s *soak) setLoss(share float64) {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	s.loss = share
+}
+
+// checkEnd asserts what must hold after the run: everything is served again,
+// and no server has ever seen what it must not.
+func (s *soak) checkEnd() {
+	for dc, c := range s.callers {
+		if crossed := c.Crossed(); crossed > 0 {
+			s.violation("callers of %s got %d packets of others, or changed ones", dc, crossed)
+		}
+	}
+	for id, sv := range s.servers {
+		_, _, repeated, crossed := sv.Seen()
+		if repeated > 0 || crossed > 0 {
+			s.violation("%s ran %d requests more than once and got %d packets that were not for it", id, repeated, crossed)
+		}
+	}
+	for _, sv := range services {
+		if s.served[sv.name] == 0 {
+			s.violation("no request of %s was served", sv.name)
+		}
+	}
+}
+
+var errWrongAnswer = errors.New("the answer belongs to another request or service")
