passthrough: a liveness check holds for one second only

A zone cut with how = reset refuses connections across the cut; the check took that for the end of the process, for good. The zone was healed at 23.6 s, and from 28.2 s on flows of a live target were reset, since resets kept any sign of life away. Ruled out: the record (never removed), a wrong cookie (the flow's target is the one that was reset), the platform (regained at 23.9 s).

Change: a refused connection and a time-out both mean out of reach, for one second; then packets are forwarded and, without an answer, the target is checked again. Only another target at its address ends it for certain.

TestCheckExpires fails with the former rule.

--- a/internal/passthrough/core_test.go
+++ b/internal/passthrough/core_test.go
@@ -417,14 +417,14 @@
 		want     Verdict
 		newFlows bool // are still placed there once its retry is due
 	}{
-		"refused":              {result: CheckRefused, want: Reset},
-		"refused, idle":        {result: CheckRefused, idle: true, want: Reset},
-		"refused, alive":       {result: CheckRefused, life: true, want: Forward, newFlows: true},
-		"refused, other run":   {result: CheckRefused, born: 9, want: Forward, newFlows: true},
-		"silent":               {result: CheckSilent, others: true, want: Reset, newFlows: true},
-		"silent, idle":         {result: CheckSilent, others: true, idle: true, want: Forward, newFlows: true},
-		"silent, cut off here": {result: CheckSilent, want: Forward, newFlows: true},
-		"answered":             {result: CheckAnswered, others: true, want: Forward, newFlows: true},
+		"replaced":                  {result: CheckReplaced, want: Reset},
+		"replaced, idle":            {result: CheckReplaced, idle: true, want: Reset},
+		"replaced, alive":           {result: CheckReplaced, life: true, want: Forward, newFlows: true},
+		"replaced, other run":       {result: CheckReplaced, born: 9, want: Forward, newFlows: true},
+		"unreachable":               {result: CheckUnreachable, others: true, want: Reset, newFlows: true},
+		"unreachable, idle":         {result: CheckUnreachable, others: true, idle: true, want: Forward, newFlows: true},
+		"unreachable, cut off here": {result: CheckUnreachable, want: Forward, newFlows: true},
+		"answered":                  {result: CheckAnswered, others: true, want: Forward, newFlows: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := testCore()
@@ -459,3 +459,32 @@
 		})
 	}
 }
+
+// Found by hunting (gwrb-dock, mix --seed 115976384511): a partition that refuses
+// connections was healed, and 24 flows of a live target were reset seconds later.
+// Guards against a check that holds for longer than checkLife, and against a
+// target that is not checked again.
+func TestCheckExpires(t *testing.T) {
+	c := testCore()
+	f := flowOf(1, counterAt)
+	d := open(t, c, origin, f)
+	now := origin.Add(time.Second)
+	p := request(f, d.Cookie)
+	p.Seq = 151
+	fail := func() (checks []Check) {
+		for _, pause := range []time.Duration{0, 200 * ms, 600 * ms} {
+			c.Packet(now.Add(pause), p)
+		}
+		c.Checks(func(k Check) { checks = append(checks, k) })
+		return checks
+	}
+	checks := fail()
+	assert.Equal(t, len(checks), 1)
+	now = now.Add(time.Second)
+	c.alive(now, c.targets.byName["slips-3"])
+	c.Checked(now, checks[0], now.Add(-ms), CheckUnreachable)
+	assert.Equal(t, c.Packet(now.Add(checkLife-ms), p).Verdict, Reset)
+	assert.Equal(t, c.Packet(now.Add(checkLife), p).Verdict, Forward, "the partition may be healed")
+	now = now.Add(checkLife)
+	assert.Equal(t, len(fail()), 1, "it is checked again while it does not answer")
+}
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -31,9 +31,10 @@
 	// away; zero while the record is there.
 	missingSince ids.Time
 	ended        bool // its record disappeared while the platform was up
-	refused      bool // a check found no such process at its address
-	silent       bool // a check found it out of reach
-	repeats      int  // packets with data repeated to it since the last sign of life
+	replaced     bool // a check found another target at its address
+	checkedAt    ids.Time
+	outUntil     ids.Time // until then it counts as out of reach
+	repeats      int      // packets with data repeated to it since the last sign of life
 	// retryAt is when a suspected target may get a flow again.
 	retryAt  ids.Time
 	retries  int // since the last sign of life
@@ -60,7 +61,7 @@
 // usable reports whether the target may get new flows at all.
 func (t *target) usable() bool {
 	s := t.lifecycle.State()
-	return !t.shadowed && !t.refused && (s == chart.BackendStarting || s == chart.BackendServing)
+	return !t.shadowed && !t.replaced && (s == chart.BackendStarting || s == chart.BackendServing)
 }
 
 // recentLife is the time since the last sign of life within which a target is
@@ -75,9 +76,9 @@
 	switch {
 	case p.Flags.Has(RST):
 		return false
-	case t.refused:
+	case t.replaced:
 		return true
-	case t.silent:
+	case now.Before(t.outUntil):
 		return p.Length > 0
 	}
 	return t.ended && (t.Draining || t.lastLife == 0 || now.Sub(t.lastLife) > recentLife)
@@ -134,7 +135,7 @@
 	}
 	t.TargetRecord = *r
 	if changed {
-		t.refused, t.silent = false, false // it has written since
+		t.replaced, t.outUntil = false, 0 // it has written since
 	}
 	t.missingSince, t.ended = 0, false
 	t.coldUntil = now.Add(r.Cold)
--- a/internal/passthrough/trust.go
+++ b/internal/passthrough/trust.go
@@ -70,15 +70,26 @@
 
 // failed records that t gave no answer to a packet sent at a time.
 func (c *Core) failed(now ids.Time, t *target, sent ids.Time, reason string) {
-	if sent.Before(t.lastLife) || t.trust.State() == chart.Suspected {
-		return // it has shown since that it is alive, or is suspected already
+	if sent.Before(t.lastLife) {
+		return // it has shown since that it is alive
+	}
+	c.requestCheck(now, t)
+	if t.trust.State() == chart.Suspected {
+		return
 	}
 	t.trust.Fire(chart.SuspicionSilent)
 	t.retry(now)
 	c.note(Event{Kind: TargetSuspected, Target: t.Name, Service: t.Service, Reason: reason, Age: now.Sub(sent)})
-	if path := c.routes.health[t.Service]; path != "" && len(c.checks) < MaxChecks {
-		c.checks = append(c.checks, Check{Target: t.Name, Born: t.Born, Address: t.Address, Path: path})
+}
+
+// requestCheck asks for a liveness check of t, at most one each checkLife.
+func (c *Core) requestCheck(now ids.Time, t *target) {
+	path := c.routes.health[t.Service]
+	if path == "" || len(c.checks) == MaxChecks || (t.checkedAt != 0 && now.Sub(t.checkedAt) < checkLife) {
+		return
 	}
+	t.checkedAt = now
+	c.checks = append(c.checks, Check{Target: t.Name, Born: t.Born, Address: t.Address, Path: path})
 }
 
 // retry sets the time at which the suspected t may get a flow again.
@@ -92,11 +103,10 @@
 	c.lastLife = now
 	t.lastLife = now
 	t.retries, t.repeats = 0, 0
-	t.silent, t.refused = false, false
+	t.outUntil = 0
 	if t.trust.State() == chart.Suspected {
 		t.trust.Fire(chart.SuspicionRefute)
 		c.note(Event{Kind: TargetTrusted, Target: t.Name, Service: t.Service})
-		c.targets.list(t)
 	}
 }
 
@@ -120,35 +130,40 @@
 	c.checks = c.checks[:0]
 }
 
+// checkLife is the time for which a check that found a target out of reach
+// holds. A partition that refuses connections looks like a target that has
+// ended, so that the flows of a live target are spared soon after it is healed.
+const checkLife = time.Second
+
 // CheckResult is the outcome of a liveness check.
 type CheckResult uint8
 
 // Outcomes of a liveness check. What a target says of its health is not used:
 // it may be wrong either way, and what callers see counts more.
 const (
-	CheckAnswered CheckResult = iota // the target has answered, whatever it said
-	CheckRefused                     // there is no such process at its address
-	CheckSilent                      // no answer in time
+	CheckAnswered    CheckResult = iota // the target has answered, whatever it said
+	CheckUnreachable                    // the connection was refused, or there was no answer in time
+	CheckReplaced                       // another target has its address: it has ended
 )
 
-var checkNames = [...]string{"answered", "refused", "silent"}
+var checkNames = [...]string{"answered", "unreachable", "replaced"}
 
 func (r CheckResult) String() string { return checkNames[r] }
 
-// Checked records the outcome of a check that began at a time. A refused target
-// has ended. A silent one is out of reach if others have shown signs of life
-// meanwhile; without these this instance itself may be cut off.
+// Checked records the outcome of a check that began at a time. A target counts
+// as out of reach only if others have shown signs of life meanwhile; without
+// these this instance itself may be cut off.
 func (c *Core) Checked(now ids.Time, k Check, began ids.Time, result CheckResult) {
 	t := c.targets.byName[k.Target]
 	if t == nil || t.Born != k.Born || t.lastLife >= began {
 		return
 	}
 	switch {
-	case result == CheckRefused:
-		t.refused = true
+	case result == CheckReplaced:
+		t.replaced = true
 		c.targets.list(t)
-	case result == CheckSilent && c.lastLife > began:
-		t.silent = true
+	case result == CheckUnreachable && c.lastLife > began:
+		t.outUntil = now.Add(checkLife)
 	default:
 		return
 	}
