passthrough: packets out of order are no repetition; stalled flows are logged

Change: a repetition counts from 150 ms on; the caller's first comes after 200 ms. A flow whose caller repeats data is now logged with the time since its request.

--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -15,7 +15,7 @@
 	malformed, readErrors, writeErrors prometheus.Counter
 	suspected, trusted, lapsed         prometheus.Counter
 	packets                            [passthrough.Reasons]prometheus.Counter
-	adopted                            prometheus.Counter
+	adopted, stalled                   prometheus.Counter
 	forwarding, answered, served       prometheus.Histogram
 	calls, checks                      *prometheus.CounterVec
 }
@@ -42,6 +42,7 @@
 	m.trusted = counter("targets_trusted_total", "Times that a suspected target showed that it is alive.")
 	m.lapsed = counter("targets_lapsed_total", "Records missing after an outage of the platform.")
 	m.adopted = counter("flows_adopted_total", "Flows that came from another instance.")
+	m.stalled = counter("repeated_data_packets_total", "Packets with request data that the caller repeats.")
 	packets := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "arbutusdock_packets_total", Help: "Packets of callers by the input that decided."}, []string{"reason"})
 	m.registry.MustRegister(packets)
 	for r := range passthrough.Reason(passthrough.Reasons) {
@@ -71,6 +72,9 @@
 	if d.Adopted {
 		m.adopted.Inc()
 	}
+	if d.Stalled > 0 {
+		m.stalled.Inc()
+	}
 	if d.Answered > 0 {
 		m.answered.Observe(d.Answered.Seconds())
 	}
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -41,13 +41,14 @@
 
 // logDecision writes a line for a decision about a flow. What identifies a flow
 // for an instance is all that it can read: both ends and the position of the
-// packet. Packets of flows that are known here are not logged.
+// packet. Of flows that are known here only packets are logged whose data the
+// caller repeats.
 func (f *Forwarder) logDecision(now ids.Time, p *passthrough.Packet, d *passthrough.Decision) {
 	l := &f.departed
 	switch {
 	case d.Reason == passthrough.Placed:
 		l = &f.placed
-	case d.Reason == passthrough.Known && !d.Adopted:
+	case d.Reason == passthrough.Known && !d.Adopted && d.Stalled == 0:
 		return
 	}
 	ok, left := l.admit(now)
@@ -59,7 +60,7 @@
 	}
 	f.log.Info("flow", "decision", d.Reason.String(), "verdict", d.Verdict.String(), "caller", p.Flow.Caller, "to", p.Flow.Service,
 		"seq", p.Seq, "copy", copyNumber(p), "cookie", uint32(p.Cookie), "service", d.Service, "target", d.Target,
-		"busy", d.Busy, "remote", d.Remote, "adopted", d.Adopted, "version", f.core.Version(), "news_age", now.Sub(f.updatedAt).Round(time.Millisecond))
+		"busy", d.Busy, "remote", d.Remote, "adopted", d.Adopted, "stalled", d.Stalled.Round(time.Millisecond), "version", f.core.Version(), "news_age", now.Sub(f.updatedAt).Round(time.Millisecond))
 }
 
 // copyNumber returns which copy of an opening packet p is, 0 for the first and
--- a/internal/passthrough/core.go
+++ b/internal/passthrough/core.go
@@ -102,6 +102,9 @@
 	// follows the answer, Served that from a request to the acknowledgement of
 	// the first answered byte. Both are 0 for other packets.
 	Answered, Served time.Duration
+	// Stalled is the time since a request whose data the caller repeats; 0 for
+	// other packets.
+	Stalled time.Duration
 }
 
 // Packet decides about one packet of a caller.
@@ -232,12 +235,12 @@
 		c.finish(f, t)
 	}
 	if p.Length > 0 {
-		c.data(now, p, f, t)
+		c.data(now, p, f, t, d)
 	}
 }
 
 // data learns from a packet with request data.
-func (c *Core) data(now ids.Time, p *Packet, f *flow, t *target) {
+func (c *Core) data(now ids.Time, p *Packet, f *flow, t *target, d *Decision) {
 	end := p.Seq + uint32(p.Length)
 	if int32(end-f.nextSeq) > 0 {
 		f.nextSeq = end
@@ -248,11 +251,19 @@
 		}
 		return
 	}
+	if !f.busy || now.Sub(f.requested) < repeatTime {
+		return // its packets came out of order
+	}
+	d.Stalled = now.Sub(f.requested)
 	if t.repeats++; t.repeats >= 2 {
 		c.failed(now, t, f.requested, "data repeated")
 	}
 }
 
+// repeatTime is the least time after which a caller repeats its data; its first
+// repetition comes after 200 ms.
+const repeatTime = 150 * time.Millisecond
+
 // move counts f for another target than before.
 func (c *Core) move(f *flow, t *target) {
 	c.uncount(f)
--- a/internal/passthrough/core_test.go
+++ b/internal/passthrough/core_test.go
@@ -488,3 +488,19 @@
 	now = now.Add(checkLife)
 	assert.Equal(t, len(fail()), 1, "it is checked again while it does not answer")
 }
+
+// Found in the logs of kelani-bump trouble-2: packets of a large request that
+// came out of order were counted as repeated. Guards against a target that is
+// suspected for it.
+func TestReorderedRequest(t *testing.T) {
+	c := testCore()
+	f := flowOf(1, counterAt)
+	d := open(t, c, origin, f)
+	for i, seq := range []uint32{351, 251, 151, 301, 201} {
+		p := request(f, d.Cookie)
+		p.Seq = seq
+		got := c.Packet(origin.Add(20*ms+time.Duration(i)*ms), p)
+		assert.Equal(t, got.Stalled, time.Duration(0))
+	}
+	assert.Assert(t, !c.targets.byName[d.Target].suspected(origin.Add(30*ms)))
+}
