follow: notice the end of an outage of the platform without waiting

Ruled out: the pause between attempts (at most 0.6 s). Change: after a failure a read does not wait for a change.

Also: target_unreachable is a reason of its own in the logs.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -133,7 +133,11 @@
 	if !f.synced {
 		return f.source.ReadAll(ctx, f.timing.Slack)
 	}
-	return f.source.ReadChanges(ctx, f.revision, f.timing.Wait, f.timing.Wait+f.timing.Slack)
+	wait := f.timing.Wait
+	if f.failures > 0 {
+		wait = 0 // the end of an outage is noticed without waiting for a change
+	}
+	return f.source.ReadChanges(ctx, f.revision, wait, wait+f.timing.Slack)
 }
 
 func (f *Follower) failed(ctx context.Context, err error) {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -22,6 +22,7 @@
 	answers []answer
 	calls   []string
 	afters  []uint64
+	waits   []time.Duration
 	end     context.CancelFunc
 }
 
@@ -42,7 +43,8 @@
 	return s.next(ctx, "all", 0)
 }
 
-func (s *script) ReadChanges(ctx context.Context, after uint64, _, _ time.Duration) (Update, error) {
+func (s *script) ReadChanges(ctx context.Context, after uint64, wait, _ time.Duration) (Update, error) {
+	s.waits = append(s.waits, wait)
 	return s.next(ctx, "changes", after)
 }
 
@@ -51,7 +53,7 @@
 	defer cancel()
 	s := &script{answers: answers, end: cancel}
 	var got []Update
-	timing := Timing{Interval: time.Millisecond, RetryMin: time.Millisecond, RetryMax: 2 * time.Millisecond}
+	timing := Timing{Wait: time.Second, Interval: time.Millisecond, RetryMin: time.Millisecond, RetryMax: 2 * time.Millisecond}
 	New(s, timing, func(u Update) { got = append(got, u) }, slog.New(slog.NewTextHandler(io.Discard, nil))).Run(ctx)
 	return s, got
 }
@@ -72,6 +74,8 @@
 	assert.DeepEqual(t, s.calls, []string{"all", "all", "changes", "changes", "changes", "changes", "changes"})
 	assert.DeepEqual(t, s.afters, []uint64{0, 0, 5, 7, 7, 7, 9})
 	assert.Equal(t, len(got), 3)
+	// The end of an outage is noticed at once.
+	assert.DeepEqual(t, s.waits, []time.Duration{time.Second, time.Second, 0, 0, time.Second})
 	assert.Assert(t, got[0].AfterOutage && !got[1].AfterOutage && got[2].AfterOutage)
 }
 
--- a/internal/passthrough/core.go
+++ b/internal/passthrough/core.go
@@ -62,24 +62,25 @@
 
 // Reasons.
 const (
-	Known         Reason = iota // the cookie names the target
-	Placed                      // a new flow
-	Replaced                    // a copy of an opening packet goes to another target
-	Repeated                    // a copy of an opening packet goes to the same target
-	NoConfig                    // no configuration yet
-	NoRoute                     // no route for this address
-	RouteDropped                // the route of the open flow has been removed
-	NoTarget                    // the service has no target
-	UnknownCookie               // the cookie names no known target
-	NoCookie                    // not an opening packet, and without a cookie
-	TargetGone                  // the target of the open flow has ended
+	Known             Reason = iota // the cookie names the target
+	Placed                          // a new flow
+	Replaced                        // a copy of an opening packet goes to another target
+	Repeated                        // a copy of an opening packet goes to the same target
+	NoConfig                        // no configuration yet
+	NoRoute                         // no route for this address
+	RouteDropped                    // the route of the open flow has been removed
+	NoTarget                        // the service has no target
+	UnknownCookie                   // the cookie names no known target
+	NoCookie                        // not an opening packet, and without a cookie
+	TargetGone                      // the target of the open flow has ended
+	TargetUnreachable               // the target of the open flow is out of reach
 	reasons
 )
 
 // Reasons is the number of reasons.
 const Reasons = int(reasons)
 
-var reasonNames = [...]string{"known", "placed", "replaced", "repeated", "no_config", "no_route", "route_dropped", "no_target", "unknown_cookie", "no_cookie", "target_gone"}
+var reasonNames = [...]string{"known", "placed", "replaced", "repeated", "no_config", "no_route", "route_dropped", "no_target", "unknown_cookie", "no_cookie", "target_gone", "target_unreachable"}
 
 func (r Reason) String() string { return reasonNames[r] }
 
@@ -125,11 +126,11 @@
 	if t == nil {
 		return Decision{Reason: UnknownCookie}
 	}
-	if t.dead(now, p) {
+	if reason, ok := t.unanswerable(now, p); ok {
 		if f := c.flows.get(p.Flow); f != nil {
 			c.release(f)
 		}
-		return Decision{Verdict: Reset, Reason: TargetGone, Target: t.Name, Service: t.Service}
+		return Decision{Verdict: Reset, Reason: reason, Target: t.Name, Service: t.Service}
 	}
 	d := c.forward(t, Known)
 	c.observe(now, p, t, &d)
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -69,19 +69,20 @@
 // merely be cut off from the platform.
 const recentLife = 2300 * time.Millisecond
 
-// dead reports whether p, a packet of one of its flows, will not be answered any
-// more, so that the caller is better off with a reset. Where the target is out
-// of reach this is said of requests only: a flow without one may outlast that.
-func (t *target) dead(now ids.Time, p *Packet) bool {
+// unanswerable reports whether p, a packet of one of its flows, will not be
+// answered any more, and why, so that the caller is better off with a reset.
+// Where the target is out of reach this is said of requests only: a flow without
+// one may outlast that.
+func (t *target) unanswerable(now ids.Time, p *Packet) (Reason, bool) {
 	switch {
 	case p.Flags.Has(RST):
-		return false
+		return Known, false
 	case t.replaced:
-		return true
+		return TargetGone, true
 	case now.Before(t.outUntil):
-		return p.Length > 0
+		return TargetUnreachable, p.Length > 0
 	}
-	return t.ended && (t.Draining || t.lastLife == 0 || now.Sub(t.lastLife) > recentLife)
+	return TargetGone, t.ended && (t.Draining || t.lastLife == 0 || now.Sub(t.lastLife) > recentLife)
 }
 
 // targetTable holds the backend servers by cookie and by service.
