fanout: a start takes the state of any instance

Ruled out: a slow start (started within 0.02 s of its log's first packet) and wrong seeds (it reached one, which ranked it alone).

Change: without an answer of the platform within 0.1 s the instance asks all instances that it knows, seeds of other data centres included, at the same time, and takes the first state however old.

--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -32,6 +33,13 @@
 // platformName is the name of the platform as a source.
 const platformName = "platform"
 
+// platformHead is the time for which an instance that starts waits for the
+// platform alone. The platform answers in milliseconds when it is up.
+const platformHead = 100 * time.Millisecond
+
+// errNoInstance is the error of a start at which nobody answered in time.
+var errNoInstance = eris.New("neither the platform nor an instance has answered")
+
 // errStale is the error of an instance that has not heard from the platform
 // for too long.
 var errStale = eris.New("its state is stale")
@@ -154,18 +162,84 @@
 }
 
 // ReadAll implements follow.Source. An instance that starts asks the platform
-// first, since it does not know the ranking yet.
+// first. If that does not answer soon it takes the state of any instance, of the
+// own or another data centre and however old: it cannot serve without one, and
+// reads on from there.
 func (s *Source) ReadAll(ctx context.Context, timeout time.Duration) (follow.Update, error) {
-	u, err := s.platform.ReadAll(ctx, timeout)
-	s.config.Count(platformName, err)
-	if err == nil {
-		s.note(platformName, nil)
-		return u, nil
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel() // ends the reads that are not needed any more
+	platform := make(chan answer, 1)
+	go func() {
+		u, err := s.platform.ReadAll(ctx, timeout)
+		platform <- answer{u, err, platformName}
+	}()
+	head := time.NewTimer(platformHead)
+	defer head.Stop()
+	first := answer{err: errNoInstance}
+	select {
+	case first = <-platform:
+		s.config.Count(platformName, first.err)
+		if first.err == nil {
+			s.note(platformName, nil)
+			return first.update, nil
+		}
+		platform = nil
+	case <-head.C:
 	}
-	if u, ok := s.readPeers(ctx, 0); ok {
-		return u, nil
+	others := s.askAll(ctx)
+	for platform != nil || others != nil {
+		select {
+		case a := <-platform:
+			s.config.Count(platformName, a.err)
+			platform = nil
+			if a.err == nil {
+				s.note(platformName, nil)
+				return a.update, nil
+			}
+			first = a
+		case a, ok := <-others:
+			if !ok {
+				others = nil
+				continue
+			}
+			s.config.Count("instance", a.err)
+			if a.err == nil {
+				s.note(a.source, nil)
+				return a.update, nil
+			}
+		}
 	}
-	return u, err
+	return follow.Update{}, first.err
+}
+
+// answer is the outcome of one of several reads.
+type answer struct {
+	update follow.Update
+	err    error
+	source string
+}
+
+// askAll reads the state of all instances that are known. The channel is closed
+// after the last answer.
+func (s *Source) askAll(ctx context.Context) <-chan answer {
+	list := s.before()
+	for _, seed := range s.config.Seeds {
+		if at, err := netip.ParseAddrPort(seed); err == nil && at != s.config.Self.Address {
+			list = append(list[:len(list):len(list)], Instance{ID: ids.Instance("seed " + seed), Address: at})
+		}
+	}
+	answers := make(chan answer, len(list))
+	var reads sync.WaitGroup
+	for _, i := range list {
+		reads.Go(func() {
+			c := client{instance: i}
+			u, err := c.read(ctx, 0)
+			c.close()
+			answers <- answer{u, err, string(i.ID)}
+		})
+	}
+	go func() { reads.Wait(); close(answers) }()
+	return answers
 }
 
 // ReadChanges implements follow.Source.
