--- a/internal/documents/documents.go
+++ b/internal/documents/documents.go
@@ -1,4 +1,4 @@
-// Package platform is the client of the platform's configuration service and
+// Package documents is the client of the configuration service and
 // instance list (HTTP with JSON, section 3.7 of docs/design.md). It only reads.
 package documents
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -66,3 +67,31 @@
 	f.Add(string(data))
 	f.Fuzz(func(t *testing.T, data string) { _, _ = Parse([]byte(data)) })
 }
+
+// Guards against settings of a pass-through instance that are refused, wrong
+// defaults, and a template of the users' platform that does not fit the parser.
+func TestPassthrough(t *testing.T) {
+	s, err := Load("../../docs/examples/passthrough.toml")
+	assert.NilError(t, err)
+	p := s.Passthrough
+	assert.Equal(t, p.Advertise, p.Control)
+	assert.Equal(t, p.Seeds, "10.1.0.10:8166,10.2.0.40:8166")
+	assert.Equal(t, p.MemoryBytes, int64(414)<<20)
+	minimal, err := Parse([]byte("instance={id='a',data_centre='d'}\n[passthrough]\nlisten='127.0.0.1:1'\nready='127.0.0.1:2'\nplatform='127.0.0.1:3'\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, minimal.Passthrough.ApplyWithin, p.ApplyWithin)
+	assert.Equal(t, minimal.Passthrough.Grace, p.Grace)
+	assert.Equal(t, minimal.Passthrough.FlowLife, p.FlowLife)
+	assert.Assert(t, !minimal.Passthrough.Control.IsValid() && !minimal.Passthrough.Metrics.IsValid())
+
+	template, err := os.ReadFile("../../deploy/settings.toml")
+	assert.NilError(t, err)
+	text := regexp.MustCompile(`\{\{[#/][^}]*\}\}`).ReplaceAllString(string(template), "")
+	text = strings.NewReplacer(`{{node|json}}`, `"edge-1"`, `{{zone|json}}`, `"a"`, `{{ip}}`, "10.1.0.10", `{{seeds|json}}`, `["10.1.0.10:8166"]`,
+		`{{limits.memory-mb}}`, "414").Replace(text)
+	text = regexp.MustCompile(`\{\{[a-z.-]*\|json\}\}`).ReplaceAllString(text, `"10.1.0.10:81"`)
+	text = regexp.MustCompile(`\{\{[a-z.-]*-ms\}\}`).ReplaceAllString(text, "3000")
+	text = regexp.MustCompile(`\{\{[a-z.-]*-s\}\}`).ReplaceAllString(text, "6")
+	_, err = Parse([]byte(text))
+	assert.NilError(t, err, "%s", text)
+}
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -6,24 +6,26 @@
 GO=${GO:-go}
 dir=$(mktemp -d)
 trap 'rm -rf "$dir"' EXIT
-"$GO" test -c -o "$dir/proof.test" ./internal/proof
-"$GO" test -c -o "$dir/core.test" ./internal/core
+random="proof core passthrough fanout"
+for package in $random; do
+	"$GO" test -c -o "$dir/$package.test" "./internal/$package"
+done
 end=$(($(date +%s) + ${FUZZ_SECONDS:-60}))
 runs=0
 while [ "$(date +%s)" -lt "$end" ]; do
 	seed=$(od -An -N6 -tu8 /dev/urandom | tr -d ' ')
-	for package in proof core; do
-		if ! (cd "internal/$package" && "$dir/$package.test" -test.run 'Invariants|Planned|Random' -rapid.seed "$seed" -rapid.checks 20) >"$dir/out" 2>&1; then
+	for package in $random; do
+		if ! (cd "internal/$package" && "$dir/$package.test" -test.run 'Invariants|Planned|Random|Converges' -rapid.seed "$seed" -rapid.checks 20) >"$dir/out" 2>&1; then
 			grep -v 'draw ' "$dir/out" | head -60
-			echo "FAIL: go test ./internal/$package -run 'Invariants|Planned|Random' -rapid.checks 20 -rapid.seed $seed"
+			echo "FAIL: go test ./internal/$package -run 'Invariants|Planned|Random|Converges' -rapid.checks 20 -rapid.seed $seed"
 			exit 1
 		fi
 	done
 	runs=$((runs + 1))
 done
 echo "random tests: $runs rounds of 20 checks with fresh seeds, ok"
-for package in message peerwire config settings; do
-	for target in $("$GO" test -list '^Fuzz' "./internal/$package" | grep '^Fuzz'); do
-		"$GO" test -run '^$' -fuzz "^$target\$" -fuzztime "${FUZZ_NATIVE_SECONDS:-5}s" -parallel 2 "./internal/$package" | tail -1
+for package in internal/message internal/peerwire internal/config internal/settings platform; do
+	for target in $("$GO" test -list '^Fuzz' "./$package" | grep '^Fuzz'); do
+		"$GO" test -run '^$' -fuzz "^$target\$" -fuzztime "${FUZZ_NATIVE_SECONDS:-5}s" -parallel 2 "./$package" | tail -1
 	done
 done
