fanout: a tree of degree 8 over the ranking, smaller messages

At the target size one instance would have had 499 followers, 150 KB/s of heartbeats alone; the limit is 2 KB/s. Each now has at most 8, and 500 instances are reached over three steps (TestDirectory). Announcements grow rarer above 100 instances in a data centre, so that a seed's work does not grow. Messages carry numbered fields: a heartbeat to 8 followers fits into 2 KB/s (TestMessageSize).

soak: faults of one instance's process no longer overlap with each other.

--- a/internal/fanout/directory.go
+++ b/internal/fanout/directory.go
@@ -1,6 +1,7 @@
 package fanout
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"sync"
@@ -11,18 +12,29 @@
 
 const (
 	// announceEvery is the interval at which an instance announces itself at the
-	// seeds, jittered by half.
+	// seeds, jittered by half, in a data centre of up to announceFull instances.
+	// Above, it grows with their number, so that a seed's work does not.
 	announceEvery = 2 * time.Second
-	// entryLife is the time after which an instance that no longer announces
-	// itself is left out: three announcements and some slack.
-	entryLife = 8 * time.Second
-	// ranked is the number of instances of a data centre that a seed names. The
-	// first reads the platform; the others replace it while it is away.
-	ranked = 3
+	announceFull  = 100
+	// lifeIntervals is the number of intervals after which an instance that no
+	// longer announces itself is left out.
+	lifeIntervals = 4
+	// degree is the number of instances that follow one directly. With it the
+	// changes reach 500 instances over three steps.
+	degree = 8
+	// substitutes is the number of instances at the head of the ranking that
+	// stand in for each other.
+	substitutes = 3
 	// rankKey makes the ranking differ from others over the same instances.
 	rankKey = "platform-reader"
 )
 
+// interval returns the interval between two announcements in a data centre with
+// n live instances.
+func interval(n int) time.Duration {
+	return announceEvery * time.Duration(max(n, announceFull)) / announceFull
+}
+
 // Instance is an instance and where it serves its state.
 type Instance struct {
 	ID      ids.Instance
@@ -33,8 +45,15 @@
 // seeds agreeing: a difference only makes an instance more read the platform.
 // It is safe for concurrent use.
 type Directory struct {
-	mu      sync.Mutex
-	entries map[ids.DataCentre]map[ids.Instance]entry
+	mu    sync.Mutex
+	lists map[ids.DataCentre]*list
+}
+
+// list holds the instances of one data centre.
+type list struct {
+	entries map[ids.Instance]entry
+	ranking []Instance // all of them in order; nil when it must be computed again
+	swept   time.Time
 }
 
 type entry struct {
@@ -44,52 +63,99 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{entries: map[ids.DataCentre]map[ids.Instance]entry{}}
+	return &Directory{lists: map[ids.DataCentre]*list{}}
 }
 
 // Announce records a live instance.
 func (d *Directory) Announce(now time.Time, dc ids.DataCentre, i Instance) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.entries[dc] == nil {
-		d.entries[dc] = map[ids.Instance]entry{}
+	l := d.lists[dc]
+	if l == nil {
+		l = &list{entries: map[ids.Instance]entry{}}
+		d.lists[dc] = l
+	}
+	if old, known := l.entries[i.ID]; !known || old.address != i.Address {
+		l.ranking = nil
 	}
-	d.entries[dc][i.ID] = entry{i.Address, now}
+	l.entries[i.ID] = entry{i.Address, now}
 }
 
 // Leave removes an instance that stops.
 func (d *Directory) Leave(dc ids.DataCentre, id ids.Instance) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.entries[dc], id)
+	if l := d.lists[dc]; l != nil {
+		delete(l.entries, id)
+		l.ranking = nil
+	}
 }
 
-// Ranking is what a seed tells about a data centre.
+// Ranking is what a seed tells an instance about its data centre.
 type Ranking struct {
-	First []Instance // in the order in which they take up the reading of the platform
-	Live  int        // number of its live instances
+	Sources []Instance // that the instance may follow, the best first
+	Live    int        // number of live instances
 }
 
-// Ranking returns the ranking of the live instances of a data centre.
-func (d *Directory) Ranking(now time.Time, dc ids.DataCentre) Ranking {
+// Ranking returns the sources of an instance: those above it in a tree over the
+// ranking of its data centre, and then the head of the ranking. The first of the
+// ranking has none, it reads the platform.
+func (d *Directory) Ranking(now time.Time, dc ids.DataCentre, id ids.Instance) Ranking {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var names []ids.Instance
-	for id, e := range d.entries[dc] {
-		if now.Sub(e.at) > entryLife {
-			delete(d.entries[dc], id)
-			continue
+	l := d.lists[dc]
+	if l == nil {
+		return Ranking{}
+	}
+	l.sweep(now)
+	l.order()
+	place := len(l.ranking)
+	for n, i := range l.ranking {
+		if i.ID == id {
+			place = n
+		}
+	}
+	r := Ranking{Live: len(l.ranking)}
+	for n := (place - 1) / degree; place > 0; n = (n - 1) / degree {
+		r.Sources = append(r.Sources, l.ranking[n])
+		if n == 0 {
+			break
 		}
-		names = append(names, id)
 	}
-	slices.Sort(names)
-	hashes := make([]uint64, len(names))
-	for i, id := range names {
-		hashes[i] = ids.Hash(string(id))
+	for n := range min(place, substitutes) {
+		if !slices.Contains(r.Sources, l.ranking[n]) {
+			r.Sources = append(r.Sources, l.ranking[n])
+		}
+	}
+	return r
+}
+
+// sweep leaves out instances that no longer announce themselves, at most once a
+// second.
+func (l *list) sweep(now time.Time) {
+	if now.Sub(l.swept) < time.Second {
+		return
+	}
+	l.swept = now
+	life := lifeIntervals * interval(len(l.entries))
+	for id, e := range l.entries {
+		if now.Sub(e.at) > life {
+			delete(l.entries, id)
+			l.ranking = nil
+		}
+	}
+}
+
+// order computes the ranking by rendezvous weight, if the instances have changed.
+func (l *list) order() {
+	if l.ranking != nil {
+		return
 	}
-	list := Ranking{Live: len(names)}
-	for _, i := range ids.Rank(nil, hashes, ids.Hash(rankKey), ranked) {
-		list.First = append(list.First, Instance{names[i], d.entries[dc][names[i]].address})
+	key := ids.Hash(rankKey)
+	for id, e := range l.entries {
+		l.ranking = append(l.ranking, Instance{id, e.address})
 	}
-	return list
+	slices.SortFunc(l.ranking, func(a, b Instance) int {
+		return cmp.Or(cmp.Compare(ids.Mix(ids.Hash(string(b.ID)), key), ids.Mix(ids.Hash(string(a.ID)), key)), cmp.Compare(a.ID, b.ID))
+	})
 }
--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -113,25 +114,53 @@
 	assert.Equal(t, len(s.log), logLimit)
 }
 
-// Guards against seeds that rank differently for the same instances, and
-// against instances that stay listed after their end.
+// Guards against seeds that rank differently for the same instances, against
+// instances that stay listed after their end, and against a tree that has a cycle
+// or in which one instance has too many followers.
 func TestDirectory(t *testing.T) {
-	now := time.Unix(100, 0)
-	a, b := NewDirectory(), NewDirectory()
-	for i := range 9 {
-		x := Instance{ids.Instance(fmt.Sprint("i", i)), netip.MustParseAddrPort("127.0.0.1:80")}
-		y := Instance{ids.Instance(fmt.Sprint("i", 8-i)), x.Address}
-		a.Announce(now, "dc", x)
-		b.Announce(now, "dc", y)
-		a.Announce(now, "other", x)
+	for _, n := range []int{1, 2, 9, 500} {
+		now := time.Unix(100, 0)
+		a, b := NewDirectory(), NewDirectory()
+		at := netip.MustParseAddrPort("127.0.0.1:80")
+		name := func(i int) ids.Instance { return ids.Instance(fmt.Sprint("i", i)) }
+		for i := range n {
+			a.Announce(now, "dc", Instance{name(i), at})
+			b.Announce(now, "dc", Instance{name(n - 1 - i), at})
+			a.Announce(now, "other", Instance{name(i), at})
+		}
+		followers := map[ids.Instance]int{}
+		depth := 0
+		var root ids.Instance
+		for i := range n {
+			r := a.Ranking(now, "dc", name(i))
+			assert.DeepEqual(t, r.Live, n)
+			assert.Assert(t, slices.Equal(r.Sources, b.Ranking(now, "dc", name(i)).Sources))
+			if len(r.Sources) == 0 {
+				assert.Equal(t, root, ids.Instance(""), "two instances read the platform")
+				root = name(i)
+				continue
+			}
+			followers[r.Sources[0].ID]++
+			steps := 0
+			for at := name(i); at != ""; steps++ {
+				assert.Assert(t, steps <= n, "cycle")
+				next := a.Ranking(now, "dc", at).Sources
+				if len(next) == 0 {
+					break
+				}
+				at = next[0].ID
+			}
+			depth = max(depth, steps)
+		}
+		for id, f := range followers {
+			assert.Assert(t, f <= degree, "%s has %d followers", id, f)
+		}
+		assert.Assert(t, depth <= 3, "%d steps at %d instances", depth, n)
+		a.Leave("dc", root)
+		assert.Equal(t, a.Ranking(now, "dc", root).Live, n-1)
+		later := now.Add(lifeIntervals*interval(n) + time.Second)
+		assert.Equal(t, a.Ranking(later, "dc", name(0)).Live, 0)
 	}
-	first := a.Ranking(now, "dc").First
-	assert.Assert(t, slices.Equal(first, b.Ranking(now, "dc").First))
-	assert.Equal(t, len(first), ranked)
-	assert.Equal(t, a.Ranking(now, "dc").Live, 9)
-	a.Leave("dc", first[0].ID)
-	assert.Equal(t, a.Ranking(now, "dc").First[0], first[1])
-	assert.Equal(t, a.Ranking(now.Add(entryLife+time.Second), "dc").Live, 0)
 }
 
 // platformStub counts the reads of the platform.
@@ -194,8 +223,8 @@
 	p := &platformStub{}
 	p.revision.Store(7)
 	reader, other := newNode(t, "r", p), newNode(t, "o", p)
-	other.source.rank(Ranking{First: []Instance{{"r", reader.address()}, {"o", other.address()}}})
-	reader.source.rank(Ranking{First: []Instance{{"r", reader.address()}, {"o", other.address()}}})
+	other.source.rank(Ranking{Sources: []Instance{{"r", reader.address()}}, Live: 2})
+	reader.source.rank(Ranking{Live: 2})
 
 	reader.state.Apply(&follow.Update{Complete: true, Revision: 7})
 	assert.Equal(t, other.read(t, 5).Revision, uint64(7))
@@ -227,7 +256,7 @@
 	p.down.Store(true)
 	reader, other := newNode(t, "r", p), newNode(t, "o", p)
 	reader.state.Apply(&follow.Update{Complete: true, Revision: 7, Config: &passthrough.Config{Version: 3}})
-	other.source.rank(Ranking{First: []Instance{{"r", reader.address()}}})
+	other.source.rank(Ranking{Sources: []Instance{{"r", reader.address()}}})
 	u, err := other.source.ReadAll(context.Background(), time.Second)
 	assert.NilError(t, err)
 	assert.Assert(t, u.Complete)
@@ -272,13 +301,33 @@
 	done := make(chan struct{})
 	go func() { n.source.Announce(ctx); close(done) }()
 	for range 100 {
-		if seed.dir.Ranking(time.Now(), "dc").Live == 1 {
+		if seed.dir.Ranking(time.Now(), "dc", "n").Live == 1 {
 			break
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	assert.Equal(t, seed.dir.Ranking(time.Now(), "dc").Live, 1)
+	assert.Equal(t, seed.dir.Ranking(time.Now(), "dc", "n").Live, 1)
 	cancel()
 	<-done
-	assert.Equal(t, seed.dir.Ranking(time.Now(), "dc").Live, 0)
+	assert.Equal(t, seed.dir.Ranking(time.Now(), "dc", "n").Live, 0)
+}
+
+// Guards against a message that loses a field on the way, and against one that
+// grows beyond its share of the control traffic: 2.5 heartbeats a second to 8
+// followers, and a change of a target, within 2 KB/s and 300 bytes.
+func TestMessageSize(t *testing.T) {
+	heartbeat, err := cbor.Marshal(&follow.Update{Revision: 1 << 40, Age: time.Second})
+	assert.NilError(t, err)
+	const tcp, frame, perSecond = 40, 4, 2.5
+	assert.Assert(t, float64(len(heartbeat)+tcp+frame)*degree*perSecond <= 2048, "%d bytes", len(heartbeat))
+	u := follow.Update{Complete: true, Revision: 7, Age: 3, AfterOutage: true, Config: &passthrough.Config{Version: 3},
+		Targets: []follow.Target{{Name: "i-1234567890", Revision: 9, Record: passthrough.TargetRecord{Name: "i-1234567890", Identity: 1 << 39,
+			Service: "counter12a", Address: passthrough.Endpoint{IP: [4]byte{10, 1, 2, 3}, Port: 8080}, DataCentre: "gnr-a", Slots: 2, Draining: true,
+			Cold: time.Second, Born: 1 << 41}}, {Name: "i-2", Removed: true, Unreadable: true}}}
+	data, err := cbor.Marshal(&u)
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) <= 300, "%d bytes", len(data))
+	var got follow.Update
+	assert.NilError(t, cbor.Unmarshal(data, &got))
+	assert.DeepEqual(t, got, u)
 }
--- a/internal/fanout/server.go
+++ b/internal/fanout/server.go
@@ -122,5 +122,5 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	// A write error means that the asking instance has left.
-	_ = json.NewEncoder(w).Encode(s.directory.Ranking(time.Now(), ids.DataCentre(dc)))
+	_ = json.NewEncoder(w).Encode(s.directory.Ranking(time.Now(), ids.DataCentre(dc), ids.Instance(id)))
 }
--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -22,8 +22,6 @@
 	// retryPeer is the time for which an instance that failed as a source is not
 	// asked again.
 	retryPeer = 3 * time.Second
-	// rankingLife is the time for which a ranking holds when no seed answers.
-	rankingLife = 15 * time.Second
 	// seedTimeout bounds the call of a seed.
 	seedTimeout = 500 * time.Millisecond
 	// maxRanking bounds the answer of a seed, in bytes.
@@ -60,8 +58,8 @@
 	Count func(source string, err error)
 }
 
-// Source reads from the instances ranked before this one, or else from the
-// platform. It implements follow.Source.
+// Source reads from the instances above this one in the ranking, or else from
+// the platform. It implements follow.Source.
 type Source struct {
 	config   Config
 	platform follow.Source
@@ -105,11 +103,19 @@
 			s.announce(leaving, true)
 			cancel()
 			return
-		case <-time.After(announceEvery/2 + rand.N(announceEvery)):
+		case <-time.After(s.pause()):
 		}
 	}
 }
 
+// pause returns the jittered time until the next announcement.
+func (s *Source) pause() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := interval(s.ranking.Live)
+	return d/2 + rand.N(d)
+}
+
 // announce asks all seeds at once and takes the first answer, so that seeds
 // that are down cost no time.
 func (s *Source) announce(ctx context.Context, leaving bool) {
@@ -136,29 +142,29 @@
 	if ranking.Live != s.ranking.Live {
 		s.config.Instances(ranking.Live)
 	}
-	if !slices.Equal(ranking.First, s.ranking.First) {
-		names := make([]string, len(ranking.First))
-		for i, r := range ranking.First {
+	if !slices.Equal(ranking.Sources, s.ranking.Sources) {
+		names := make([]string, len(ranking.Sources))
+		for i, r := range ranking.Sources {
 			names[i] = string(r.ID)
 		}
-		s.config.Log.Info("ranking-changed", "ranking", strings.Join(names, ","), "live", ranking.Live)
+		s.config.Log.Info("ranking-changed", "sources", strings.Join(names, ","), "live", ranking.Live)
 	}
 	s.ranking, s.rankedAt = ranking, time.Now()
 }
 
-// before returns the instances that are ranked before this one.
-func (s *Source) before() []Instance {
+// sources returns the instances that this one may follow, the best first.
+func (s *Source) sources() []Instance {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if time.Since(s.rankedAt) > rankingLife {
+	if time.Since(s.rankedAt) > s.rankingLife() {
 		return nil
 	}
-	for i, r := range s.ranking.First {
-		if r.ID == s.config.Self.ID {
-			return s.ranking.First[:i]
-		}
-	}
-	return s.ranking.First
+	return s.ranking.Sources
+}
+
+// rankingLife is the time for which a ranking holds when no seed answers.
+func (s *Source) rankingLife() time.Duration {
+	return (lifeIntervals + 2) * interval(s.ranking.Live)
 }
 
 // ReadAll implements follow.Source. An instance that starts asks the platform
@@ -222,7 +228,7 @@
 // askAll reads the state of all instances that are known. The channel is closed
 // after the last answer.
 func (s *Source) askAll(ctx context.Context) <-chan answer {
-	list := s.before()
+	list := s.sources()
 	for _, seed := range s.config.Seeds {
 		if at, err := netip.ParseAddrPort(seed); err == nil && at != s.config.Self.Address {
 			list = append(list[:len(list):len(list)], Instance{ID: ids.Instance("seed " + seed), Address: at})
@@ -255,9 +261,9 @@
 	return u, err
 }
 
-// readPeers reads from the first instance before this one that is up to date.
+// readPeers reads from the first source that is up to date.
 func (s *Source) readPeers(ctx context.Context, after uint64) (follow.Update, bool) {
-	for _, i := range s.before() {
+	for _, i := range s.sources() {
 		if time.Since(s.failed[i.ID]) < retryPeer {
 			continue
 		}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -22,13 +22,13 @@
 
 // Target is the record of a target or its removal.
 type Target struct {
-	Name     string
-	Revision uint64 // of its last change
-	Removed  bool
+	Name     string `cbor:"1,keyasint,omitempty"`
+	Revision uint64 `cbor:"2,keyasint,omitempty"` // of its last change
+	Removed  bool   `cbor:"3,keyasint,omitempty"`
 	// Unreadable tells that the record of a removed target was replaced by
 	// something else; the target may be alive.
-	Unreadable bool
-	Record     passthrough.TargetRecord
+	Unreadable bool                     `cbor:"4,keyasint,omitempty"`
+	Record     passthrough.TargetRecord `cbor:"5,keyasint,omitempty"`
 }
 
 // Invalid is an entry that could not be read.
@@ -40,16 +40,16 @@
 
 // Update is what one read returned.
 type Update struct {
-	Complete bool   // everything that is published, not only changes
-	Revision uint64 // up to which it is known
-	Config   *passthrough.Config
-	Targets  []Target  // in the order of their changes
-	Invalid  []Invalid `cbor:"-"` // logged where it was read
+	Complete bool                `cbor:"1,keyasint,omitempty"` // everything that is published, not only changes
+	Revision uint64              `cbor:"2,keyasint,omitempty"` // up to which it is known
+	Config   *passthrough.Config `cbor:"3,keyasint,omitempty"`
+	Targets  []Target            `cbor:"4,keyasint,omitempty"` // in the order of their changes
+	Invalid  []Invalid           `cbor:"-"`                    // logged where it was read
 	// Age is the time since the source itself was known to be complete.
-	Age time.Duration
+	Age time.Duration `cbor:"5,keyasint,omitempty"`
 	// AfterOutage is set by the Follower: the source answers for the first time
 	// after it failed.
-	AfterOutage bool
+	AfterOutage bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Source is where publications are read. Each call returns after timeout at
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -9,15 +9,15 @@
 
 // TargetRecord is what a backend server has published about itself.
 type TargetRecord struct {
-	Name       string // published name of this incarnation
-	Identity   uint64 // number by which a datagram names the backend server
-	Service    ids.Service
-	Address    Endpoint
-	DataCentre ids.DataCentre
-	Slots      int // requests that it runs at a time
-	Draining   bool
-	Cold       time.Duration // how much longer it is slow after its start
-	Born       int64         // start of this incarnation, Unix milliseconds; 0 if not published
+	Name       string         `cbor:"1,keyasint,omitempty"` // published name of this incarnation
+	Identity   uint64         `cbor:"2,keyasint,omitempty"` // number by which a datagram names the backend server
+	Service    ids.Service    `cbor:"3,keyasint,omitempty"`
+	Address    Endpoint       `cbor:"4,keyasint,omitempty"`
+	DataCentre ids.DataCentre `cbor:"5,keyasint,omitempty"`
+	Slots      int            `cbor:"6,keyasint,omitempty"` // requests that it runs at a time
+	Draining   bool           `cbor:"7,keyasint,omitempty"`
+	Cold       time.Duration  `cbor:"8,keyasint,omitempty"` // how much longer it is slow after its start
+	Born       int64          `cbor:"9,keyasint,omitempty"` // start of this incarnation, Unix milliseconds; 0 if not published
 }
 
 // target is the state kept of one backend server.
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -71,12 +71,17 @@
 	store    *proxy // between the instance and the store
 	control  *proxy // between other instances and this one
 
+	// life is held while a fault decides about the process, so that no two start
+	// it again.
+	life sync.Mutex
+
 	cmd       *exec.Cmd
 	ended     chan struct{} // closed when the process has ended
 	running   int           // number of starts
 	misses    int
 	inUse     bool      // in rotation
-	disturbed time.Time // end of the last disturbance; far ahead while one lasts
+	down      bool      // killed or paused
+	disturbed time.Time // end of the last disturbance
 	proven    int       // version whose effect a caller has seen
 	provenAt  time.Time
 	run       int // start in which it was seen
@@ -213,11 +218,21 @@
 	}
 }
 
+// setDown records whether an instance is killed or paused.
+func (f *fleet) setDown(i *instance, down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i.down = down
+	if now := time.Now(); !down && now.After(i.disturbed) {
+		i.disturbed = now
+	}
+}
+
 // calm reports whether an instance has been undisturbed for long enough.
 func (f *fleet) calm(i *instance) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Since(i.disturbed) > contact
+	return !i.down && time.Since(i.disturbed) > contact
 }
 
 // probe asks for the readiness of an instance as the fabric does.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -310,7 +310,9 @@
 
 // kill ends a process without notice and starts it again.
 func (s *soak) kill(i *instance, down time.Duration) {
-	s.disturb(i, far)
+	i.life.Lock()
+	defer i.life.Unlock()
+	s.setDown(i, true)
 	s.signal(i, syscall.SIGKILL)
 	s.restart(i, down)
 }
@@ -319,42 +321,33 @@
 	<-i.ended
 	time.Sleep(down)
 	s.start(i)
-	s.calmDown(i)
-}
-
-// calmDown ends a disturbance of unknown length.
-func (s *soak) calmDown(i *instance) {
-	s.fleet.mu.Lock()
-	defer s.fleet.mu.Unlock()
-	i.disturbed = time.Now()
+	s.setDown(i, false)
 }
 
 // stop is a planned stop and a start. It must end in time and cut nothing.
 func (s *soak) stop(i *instance, down time.Duration) {
-	s.fleet.mu.Lock()
-	ended, paused := i.ended, time.Since(i.disturbed) < 0
-	s.fleet.mu.Unlock()
-	if paused {
-		return // another fault has the instance
-	}
+	i.life.Lock()
+	defer i.life.Unlock()
 	s.signal(i, syscall.SIGTERM)
 	select {
-	case <-ended:
+	case <-i.ended:
 	case <-time.After(grace):
 		s.violation("%s has not ended %s after SIGTERM", i.id, grace)
 		s.signal(i, syscall.SIGKILL)
 	}
-	s.disturb(i, far)
+	s.setDown(i, true)
 	s.restart(i, down)
 }
 
 // freeze pauses a process.
 func (s *soak) freeze(i *instance, d time.Duration) {
-	s.disturb(i, far)
+	i.life.Lock()
+	defer i.life.Unlock()
+	s.setDown(i, true)
 	s.signal(i, syscall.SIGSTOP)
 	time.Sleep(d)
 	s.signal(i, syscall.SIGCONT)
-	s.calmDown(i)
+	s.setDown(i, false)
 }
 
 // cutStore disturbs the connections of one or all instances to the store.
