--- a/internal/passthrough/bench_test.go
+++ b/internal/passthrough/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -52,3 +53,69 @@
 		c.Packet(origin, p)
 	}
 }
+
+// liveBytes returns the live bytes after a collection.
+func liveBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkMemory reports the bytes of a target, a flow and a route.
+func BenchmarkMemory(b *testing.B) {
+	for b.Loop() {
+		before := liveBytes()
+		c := benchCore(29000)
+		targets := liveBytes()
+		for i := range 14000 {
+			f := flowOf(i, counterAt)
+			c.Packet(origin, syn(f, 0))
+		}
+		flows := liveBytes()
+		config := testConfig(2)
+		for i := range 6800 {
+			at := Endpoint{IP: [4]byte{198, 19, byte(i >> 8), byte(i)}, Port: 443}
+			config.Routes = append(config.Routes, Route{Name: fmt.Sprint("r-", i), Address: at, Splits: []Split{{"counter", 1}}})
+		}
+		c.Config(config)
+		routes := liveBytes()
+		b.ReportMetric(float64(targets-before)/29000, "B/target")
+		b.ReportMetric(float64(flows-targets)/14000, "B/flow")
+		b.ReportMetric(float64(routes-flows)/6800, "B/route")
+		runtime.KeepAlive(c)
+	}
+}
+
+// BenchmarkLearn measures a changed record among 29,000, and a version with
+// 6,800 routes.
+func BenchmarkLearn(b *testing.B) {
+	c := benchCore(29000)
+	b.Run("target", func(b *testing.B) {
+		r := record(77, "counter", "a")
+		for b.Loop() {
+			r.Draining = !r.Draining
+			c.Put(origin, &r)
+			c.Events(func(Event) {})
+		}
+	})
+	b.Run("config", func(b *testing.B) {
+		config := testConfig(1)
+		for i := range 6800 {
+			at := Endpoint{IP: [4]byte{198, 19, byte(i >> 8), byte(i)}, Port: 443}
+			config.Routes = append(config.Routes, Route{Name: fmt.Sprint("r-", i), Address: at, Splits: []Split{{"counter", 1}}})
+		}
+		for b.Loop() {
+			config.Version++
+			c.Config(config)
+			c.Events(func(Event) {})
+		}
+	})
+	b.Run("tick", func(b *testing.B) {
+		now := origin
+		for b.Loop() {
+			now = now.Add(sweepEvery)
+			c.Tick(now)
+		}
+	})
+}
--- a/internal/passthrough/core_test.go
+++ b/internal/passthrough/core_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"testing"
 	"time"
+	"unsafe"
 
 	"gotest.tools/v3/assert"
 
@@ -504,3 +505,10 @@
 	}
 	assert.Assert(t, !c.targets.byName[d.Target].suspected(origin.Add(30*ms)))
 }
+
+// Guards against a stated size of a flow that is too small.
+func TestFlowBytes(t *testing.T) {
+	const index = unsafe.Sizeof(FlowKey{}) + 4 // key and position in the map
+	const load = 7.0 / 16                      // of a map that has just grown
+	assert.Assert(t, float64(unsafe.Sizeof(flow{}))+float64(index)/load <= FlowBytes)
+}
