forwarder: a span for each step of a sampled flow

Off by default. All instances sample the same flows, and spans of one flow share a trace id. TestPlannedStop checks the steps.

--- a/cmd/arbutusdockd/main.go
+++ b/cmd/arbutusdockd/main.go
@@ -79,7 +79,7 @@
 
 // forward runs an instance that forwards opaque flows.
 func forward(s *settings.Passthrough) int {
-	f, err := forwarder.New(s, os.Stdout)
+	f, err := forwarder.New(s, os.Stdout, os.Stderr)
 	if err != nil {
 		return report(exitFailed, err)
 	}
--- a/internal/forwarder/forward.go
+++ b/internal/forwarder/forward.go
@@ -117,6 +117,7 @@
 	}
 	f.metrics.record(&d, f.clock.now().Sub(now))
 	f.logDecision(now, &p, &d)
+	f.trace(&p, &d)
 	f.logEvents()
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -60,6 +60,7 @@
 	peers    *fanout.Source // nil without an interface between instances
 	clock    clock
 	metrics  *metrics
+	tracer   *telemetry.Tracer
 	placed   limiter // lines about ordinary placements
 	departed limiter // lines about other decisions
 
@@ -77,8 +78,9 @@
 
 func (c clock) now() ids.Time { return ids.Time(time.Since(c.start)) + 1 }
 
-// New opens the sockets of an instance. Its log goes to stdout.
-func New(s *settings.Passthrough, stdout io.Writer) (*Forwarder, error) {
+// New opens the sockets of an instance. Its log goes to stdout, spans to what
+// the settings name.
+func New(s *settings.Passthrough, stdout, stderr io.Writer) (*Forwarder, error) {
 	if s.MemoryBytes > 0 {
 		// The collector works harder as the process nears its limit.
 		debug.SetMemoryLimit(s.MemoryBytes / 2)
@@ -88,11 +90,18 @@
 		return nil, eris.Wrapf(err, "listen for datagrams on %s", s.Listen)
 	}
 	out := telemetry.NewWriter(stdout, logLines)
+	spans := map[string]io.Writer{"stdout": out, "stderr": stderr}[s.Trace.Exporter]
+	tracer, err := telemetry.NewTracer(spans, s.Trace.Sample, s.Instance)
+	if err != nil {
+		_ = conn.Close() // nothing was served yet
+		return nil, err
+	}
 	level := new(slog.LevelVar)
 	level.Set(s.Log.Level)
 	f := &Forwarder{
 		settings: s,
 		level:    level,
+		tracer:   tracer,
 		reload:   make(chan struct{}, 1),
 		log:      telemetry.NewLogger(out, level, s.Instance),
 		out:      out,
@@ -127,6 +136,7 @@
 // Run forwards until Stop and the planned stop that follows, or until ctx ends.
 func (f *Forwarder) Run(ctx context.Context) error {
 	defer f.out.Close()
+	defer f.closeTracer()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	probe, err := f.serveReady()
@@ -155,6 +165,15 @@
 	return err
 }
 
+// closeTracer writes the spans that are still buffered.
+func (f *Forwarder) closeTracer() {
+	ctx, cancel := context.WithTimeout(context.Background(), exitMargin/2)
+	defer cancel()
+	if err := f.tracer.Close(ctx); err != nil {
+		f.log.Warn("spans-lost", "error", err)
+	}
+}
+
 // deliver hands updates to the forwarding goroutine.
 func (f *Forwarder) deliver(ctx context.Context) func(follow.Update) {
 	return func(u follow.Update) {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -51,8 +51,9 @@
 // instance is a running forwarder.
 type instance struct {
 	*Forwarder
-	log  *lockedBuffer
-	done chan error
+	log   *lockedBuffer
+	spans *lockedBuffer
+	done  chan error
 }
 
 // fleet is a small installation on the loopback interface.
@@ -112,7 +113,7 @@
 		Instance: ids.Instance(fmt.Sprint("a-", n)), DataCentre: "a", Platform: netip.MustParseAddrPort(f.store.Address()),
 		Listen: netip.AddrPortFrom(ip, f.port), Ready: netip.AddrPortFrom(ip, tcp), Control: netip.AddrPortFrom(ip, tcp+1),
 		Metrics:     netip.AddrPortFrom(ip, tcp+2),
-		ApplyWithin: 3 * time.Second, Grace: 6 * time.Second, FlowLife: time.Minute, Log: settings.Log{Level: slog.LevelDebug},
+		ApplyWithin: 3 * time.Second, Grace: 6 * time.Second, FlowLife: time.Minute, Log: settings.Log{Level: slog.LevelDebug}, Trace: settings.Trace{Exporter: "stderr", Sample: 1},
 	}
 	s.Advertise = s.Control
 	if n > 0 {
@@ -120,9 +121,9 @@
 	} else {
 		s.Seeds = s.Control.String()
 	}
-	i := &instance{log: &lockedBuffer{}, done: make(chan error, 1)}
+	i := &instance{log: &lockedBuffer{}, spans: &lockedBuffer{}, done: make(chan error, 1)}
 	var err error
-	i.Forwarder, err = New(s, i.log)
+	i.Forwarder, err = New(s, i.log, i.spans)
 	assert.NilError(f.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { i.done <- i.Run(ctx) }()
@@ -222,6 +223,9 @@
 	_, err = flow.Request([]byte("last"), time.Second)
 	assert.NilError(t, err)
 	assert.Assert(t, strings.Contains(leaving.log.String(), "msg=stopped"))
+	for _, hop := range []string{"placed", "opened", "served"} {
+		assert.Assert(t, strings.Contains(leaving.spans.String(), `"Name":"`+hop+`"`), "no span %s", hop)
+	}
 	f.checkTargets()
 }
 
--- /dev/null
+++ b/internal/forwarder/trace.go
@@ -0,0 +1,40 @@
+package forwarder
+
+import (
+	"time"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
+	"arbutusdock.example/arbutusdock/internal/passthrough"
+	"arbutusdock.example/arbutusdock/internal/telemetry"
+)
+
+// trace records a span for each step of a sampled flow. All instances sample
+// the same flows, and spans of one flow share a trace.
+func (f *Forwarder) trace(p *passthrough.Packet, d *passthrough.Decision) {
+	name, took := hopOf(d)
+	if name == "" || !f.tracer.Sampled(p.Flow.Hash()) {
+		return
+	}
+	f.tracer.Record(telemetry.Hop{
+		Name: name, Request: p.Flow.Hash(), Service: d.Service, Target: ids.Target(d.Target),
+		Start: time.Now().Add(-took), Duration: took,
+	})
+}
+
+// hopOf names the step of a flow that a decision shows, and the time that it
+// took. Packets within a step have no name.
+func hopOf(d *passthrough.Decision) (string, time.Duration) {
+	switch {
+	case d.Reason != passthrough.Known:
+		return d.Reason.String(), 0
+	case d.Answered > 0:
+		return "opened", d.Answered
+	case d.Served > 0:
+		return "served", d.Served
+	case d.Stalled > 0:
+		return "stalled", d.Stalled
+	case d.Adopted:
+		return "adopted", 0
+	}
+	return "", 0
+}
--- a/internal/passthrough/config.go
+++ b/internal/passthrough/config.go
@@ -65,7 +65,7 @@
 	if total == 0 {
 		return ""
 	}
-	at := flow.hash() % total
+	at := flow.Hash() % total
 	for _, s := range r.Splits {
 		if at < uint64(s.Weight) {
 			return s.Service
--- a/internal/passthrough/load_test.go
+++ b/internal/passthrough/load_test.go
@@ -141,7 +141,7 @@
 		f := flowOf(s.next%60000, counterAt)
 		f.Caller.Port = uint16(1024 + s.next/60000)
 		list := s.cores[dc]
-		open(list[f.hash()%uint64(len(list))], f)
+		open(list[f.Hash()%uint64(len(list))], f)
 	})
 }
 
--- a/internal/passthrough/packet.go
+++ b/internal/passthrough/packet.go
@@ -34,8 +34,8 @@
 	Service Endpoint // address and port to which the caller opened the flow
 }
 
-// hash returns a value that all instances compute alike.
-func (k FlowKey) hash() uint64 {
+// Hash returns a value that all instances compute alike.
+func (k FlowKey) Hash() uint64 {
 	caller := uint64(binary.BigEndian.Uint32(k.Caller.IP[:]))<<16 | uint64(k.Caller.Port)
 	service := uint64(binary.BigEndian.Uint32(k.Service.IP[:]))<<16 | uint64(k.Service.Port)
 	return mix(caller, service)
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -28,6 +28,7 @@
 	FlowLife    time.Duration // age after which a flow may be forgotten
 	MemoryBytes int64         // limit of the process; 0 for none
 	Log         Log
+	Trace       Trace
 }
 
 // parsePassthrough reads the tables of a pass-through instance.
@@ -48,5 +49,6 @@
 	}
 	p.Advertise = r.addrPort("passthrough.advertise", p.Control)
 	parseLog(r, &p.Log)
+	parseTrace(r, &p.Trace)
 	return p
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -212,11 +212,15 @@
 	s.HealthWorkers = int(r.integer("health.workers", 16, 1, 1024))
 	s.HealthTimeout = r.duration("health.timeout", 500*time.Millisecond, 10*time.Millisecond, 10*time.Second)
 	parseLog(r, &s.Log)
-	s.Trace.Exporter = r.oneOf("trace.exporter", "none", "none", "stdout", "stderr")
-	s.Trace.Sample = r.float("trace.sample", 0.01, 0, 1)
+	parseTrace(r, &s.Trace)
 }
 
 func parseLog(r *reader, l *Log) {
 	level := r.oneOf("log.level", "info", "debug", "info", "warn", "error")
 	_ = l.Level.UnmarshalText([]byte(level)) // oneOf admits only valid levels
 }
+
+func parseTrace(r *reader, t *Trace) {
+	t.Exporter = r.oneOf("trace.exporter", "none", "none", "stdout", "stderr")
+	t.Sample = r.float("trace.sample", 0.01, 0, 1)
+}
