soak: a demo of pass-through flows; draining servers close flows

The stand-in of a backend server closes each flow after its next answer while it drains, as the real ones do; without that the demo's drain reset one flow.

--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 
 demo:
 	GO=$(GO) scripts/demo.sh
+	$(GO) test ./soak -run TestDemo -count=1 -v
 
 experiment:
 	$(GO) run ./cmd/experiment --out docs/experiments
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -57,8 +57,9 @@
 func (s *soak) request(flow *platformtest.Flow, a attempt, sv service, fresh bool) (string, error) {
 	text := fmt.Sprintf("%s-%d-%d", a.dc, time.Now().UnixNano(), rand.Uint32())
 	before := s.undisturbed()
-	answer, err := flow.Request([]byte(text), budget)
+	answer, err := flow.Request([]byte(text), s.budget)
 	if err != nil {
+		s.countBroken(err)
 		// Which server it was is not known; a reset is judged as if it were one
 		// that nothing had disturbed.
 		if before && s.undisturbed() && !s.anyLeaving() {
@@ -81,6 +82,17 @@
 	return words[1], nil
 }
 
+// countBroken counts a request that failed on an open flow.
+func (s *soak) countBroken(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if errors.Is(err, platformtest.ErrReset) {
+		s.resets++
+	} else {
+		s.silent++
+	}
+}
+
 // anyLeaving reports whether a server that leaves may end flows.
 func (s *soak) anyLeaving() bool {
 	s.mu.Lock()
@@ -102,7 +114,7 @@
 			continue
 		}
 		server, err := s.request(flow, a, sv, true)
-		for err == nil && time.Now().Before(s.end) {
+		for err == nil && !flow.Ended() && time.Now().Before(s.end) {
 			time.Sleep(time.Duration(20+rand.IntN(200)) * time.Millisecond)
 			var again string
 			if again, err = s.request(flow, a, sv, false); err == nil && again != server {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,7 +28,8 @@
 const (
 	ciTime     = 10 * time.Second // of faults, in a run without settings
 	settleTime = 5 * time.Second  // after the last fault until everything is served
-	budget     = 2 * time.Second  // of a request
+	budget     = 2 * time.Second  // of a request, in a run of faults
+	demoBudget = 5 * time.Second  // of a request in the demo: outlasts the loss of an instance
 	drainTime  = 3 * time.Second  // that a leaving target goes on serving
 	parallel   = 3                // seeds at a time
 )
@@ -62,8 +63,9 @@
 type soak struct {
 	*fleet
 	seed    uint64
-	rng     *rand.Rand // of faults; used by one goroutine
-	end     time.Time  // of the load
+	budget  time.Duration // of a request
+	rng     *rand.Rand    // of faults; used by one goroutine
+	end     time.Time     // of the load
 	callers map[string]*platformtest.Caller
 
 	mu        sync.Mutex
@@ -72,6 +74,8 @@
 	version   int
 	confirmed map[int]time.Time // by version
 	served    map[string]int
+	resets    int // of open flows
+	silent    int // requests on open flows without an answer in time
 	failures  []string
 }
 
@@ -141,7 +145,33 @@
 }
 
 func play(t *testing.T, seed uint64, length time.Duration, instances int) {
-	s := &soak{fleet: newFleet(t, seed, instances), seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), callers: map[string]*platformtest.Caller{},
+	s := newSoak(t, seed, instances, budget)
+	s.load(length+settleTime+3*time.Second, func() { s.faults(length) })
+	t.Logf("seed %d: served %v, version %d", seed, s.served, s.version)
+}
+
+// TestDemo plays a fixed series of events and counts what callers and servers
+// see. make demo runs it. Guards against a flow that is reset, falls silent or
+// is crossed with another through a planned stop, a drain and a kill.
+func TestDemo(t *testing.T) {
+	s := newSoak(t, 0, 2, demoBudget)
+	s.load(16*time.Second, func() {
+		time.Sleep(2 * time.Second)
+		t.Log("planned stop of a-0")
+		s.stop(s.instances[0], time.Second)
+		t.Log("drain of a counter server")
+		s.drain(s.servers["i-00000001"])
+		t.Log("kill of b-2")
+		s.kill(s.instances[2], 2*time.Second)
+	})
+	t.Logf("served %v; flows reset %d, silent %d; crossed and repeated: see failures", s.served, s.resets, s.silent)
+	assert.Equal(t, s.resets, 0)
+	assert.Equal(t, s.silent, 0)
+}
+
+// newSoak starts a fleet with its servers and callers.
+func newSoak(t *testing.T, seed uint64, instances int, budget time.Duration) *soak {
+	s := &soak{fleet: newFleet(t, seed, instances), seed: seed, budget: budget, rng: rand.New(rand.NewPCG(seed, 1)), callers: map[string]*platformtest.Caller{},
 		servers: map[string]*server{}, number: uint32(seed) << 8, confirmed: map[int]time.Time{}, served: map[string]int{}}
 	for _, sv := range services {
 		for n := range 4 {
@@ -156,7 +186,13 @@
 		s.callers[dc] = c
 	}
 	s.awaitRotation()
-	s.end = time.Now().Add(length + settleTime + 3*time.Second)
+	return s
+}
+
+// load runs callers for a time while events happen, and then checks what must
+// hold at the end.
+func (s *soak) load(length time.Duration, events func()) {
+	s.end = time.Now().Add(length)
 	var load sync.WaitGroup
 	for dc, c := range s.callers {
 		for n := range 3 {
@@ -165,13 +201,12 @@
 		}
 		load.Go(func() { s.versionCaller(dc, c) })
 	}
-	s.faults(length)
+	events()
 	load.Wait()
 	s.checkEnd()
 	for _, f := range s.failures {
-		t.Error(f)
+		s.t.Error(f)
 	}
-	t.Logf("seed %d: served %v, version %d", seed, s.served, s.version)
 }
 
 func (s *soak) awaitRotation() {
@@ -380,6 +415,7 @@
 func (s *soak) drain(sv *server) {
 	s.addServer(sv.Service, sv.Zone)
 	s.store.PutTarget(sv.Target, "draining")
+	sv.Drain()
 	s.mu.Lock()
 	sv.drained = time.Now()
 	s.mu.Unlock()
