fanout: a start asks one instance after the other

After all machines lost power the platform answered its full reads later than 0.1 s, and every instance asked all seeds for everything; seeds that knew nothing kept them waiting and sent it later. Ruled out: announcements (about 90 KB/s at a seed).

Change: half of the time for a full read is the platform's alone; then one instance after the other is asked, those of the own data centre first; an instance without state says so at once. TestCommonStart fails without.

--- a/internal/fanout/server.go
+++ b/internal/fanout/server.go
@@ -53,6 +53,12 @@
 		http.Error(w, "after must be a revision", http.StatusBadRequest)
 		return
 	}
+	if _, _, ok := s.state.Since(after); !ok {
+		// Whoever waited here would get everything as soon as it is known; after
+		// a common start that is every instance.
+		http.Error(w, "nothing is known yet", http.StatusServiceUnavailable)
+		return
+	}
 	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
 		s.log.Warn("follower-refused", "peer", r.RemoteAddr, "error", err)
@@ -64,13 +70,11 @@
 	heartbeat := time.NewTicker(heartbeatEvery)
 	defer heartbeat.Stop()
 	for {
-		update, changed, ok := s.state.Since(after)
-		if ok {
-			if err := send(ctx, ws, &update); err != nil {
-				return // the follower reports the loss of its source
-			}
-			after = update.Revision
+		update, changed, _ := s.state.Since(after) // what is known stays known
+		if err := send(ctx, ws, &update); err != nil {
+			return // the follower reports the loss of its source
 		}
+		after = update.Revision
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -31,9 +31,15 @@
 // platformName is the name of the platform as a source.
 const platformName = "platform"
 
-// platformHead is the time for which an instance that starts waits for the
-// platform alone. The platform answers in milliseconds when it is up.
-const platformHead = 100 * time.Millisecond
+const (
+	// platformHead is the share of the time for a full read for which an instance
+	// that starts waits for the platform alone. When all start together the
+	// platform takes longer, and nobody else knows anything.
+	platformHead = 0.5
+	// hedgeAfter is the time without an answer after which the next instance is
+	// asked as well.
+	hedgeAfter = 100 * time.Millisecond
+)
 
 // errNoInstance is the error of a start at which nobody answered in time.
 var errNoInstance = eris.New("neither the platform nor an instance has answered")
@@ -168,9 +174,9 @@
 }
 
 // ReadAll implements follow.Source. An instance that starts asks the platform
-// first. If that does not answer soon it takes the state of any instance, of the
-// own or another data centre and however old: it cannot serve without one, and
-// reads on from there.
+// first. If that fails or does not answer soon it takes the state of any instance,
+// of the own or else another data centre and however old: it cannot serve without
+// one, and reads on from there.
 func (s *Source) ReadAll(ctx context.Context, timeout time.Duration) (follow.Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel() // ends the reads that are not needed any more
@@ -179,7 +185,7 @@
 		u, err := s.platform.ReadAll(ctx, timeout)
 		platform <- answer{u, err, platformName}
 	}()
-	head := time.NewTimer(platformHead)
+	head := time.NewTimer(time.Duration(float64(timeout) * platformHead))
 	defer head.Stop()
 	first := answer{err: errNoInstance}
 	select {
@@ -192,7 +198,7 @@
 		platform = nil
 	case <-head.C:
 	}
-	others := s.askAll(ctx)
+	others := s.askInTurn(ctx)
 	for platform != nil || others != nil {
 		select {
 		case a := <-platform:
@@ -225,27 +231,49 @@
 	source string
 }
 
-// askAll reads the state of all instances that are known. The channel is closed
-// after the last answer.
-func (s *Source) askAll(ctx context.Context) <-chan answer {
-	list := s.sources()
-	for _, seed := range s.config.Seeds {
+// askInTurn reads the state of one instance after the other, those of the own
+// data centre first and then the seeds in random order. The next is asked when the
+// one before has failed or not answered for hedgeAfter: a state is large. The
+// channel is closed after the last answer, or when ctx ends.
+func (s *Source) askInTurn(ctx context.Context) <-chan answer {
+	list := s.known()
+	answers := make(chan answer, len(list))
+	go func() {
+		var reads sync.WaitGroup
+		defer func() { reads.Wait(); close(answers) }()
+		for _, i := range list {
+			failed := make(chan struct{})
+			reads.Go(func() {
+				c := client{instance: i}
+				u, err := c.read(ctx, 0)
+				c.close()
+				answers <- answer{u, err, string(i.ID)}
+				if err != nil {
+					close(failed)
+				}
+			})
+			select {
+			case <-failed:
+			case <-time.After(hedgeAfter):
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return answers
+}
+
+// known returns the instances whose state may be read at a start.
+func (s *Source) known() []Instance {
+	list := slices.Clone(s.sources())
+	seeds := slices.Clone(s.config.Seeds)
+	rand.Shuffle(len(seeds), func(a, b int) { seeds[a], seeds[b] = seeds[b], seeds[a] })
+	for _, seed := range seeds {
 		if at, err := netip.ParseAddrPort(seed); err == nil && at != s.config.Self.Address {
-			list = append(list[:len(list):len(list)], Instance{ID: ids.Instance("seed " + seed), Address: at})
+			list = append(list, Instance{ID: ids.Instance("seed " + seed), Address: at})
 		}
 	}
-	answers := make(chan answer, len(list))
-	var reads sync.WaitGroup
-	for _, i := range list {
-		reads.Go(func() {
-			c := client{instance: i}
-			u, err := c.read(ctx, 0)
-			c.close()
-			answers <- answer{u, err, string(i.ID)}
-		})
-	}
-	go func() { reads.Wait(); close(answers) }()
-	return answers
+	return list
 }
 
 // ReadChanges implements follow.Source.
