fanout, follow: pace reads of the platform only; leave the seeds early; reset without targets

From reading the code: every step of the tree paused up to 0.4 s after a change, 1.6 s in all at 500 instances; only the platform's reads need that. A connection to a former source stayed open and nobody read it. An instance that stops told the seeds at its very end, if at all. A service without any target left callers to their time-out; they now get a reset, but not within 2 s of a start or an outage, when records may have lapsed. Tests: TestPaced, TestFormerSourceIsLeft, TestServiceWithoutTargets; each fails without its change.

--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -358,3 +358,20 @@
 	assert.NilError(t, err)
 	assert.Equal(t, served, 1)
 }
+
+// Guards against a connection to a former source that stays open unread.
+func TestFormerSourceIsLeft(t *testing.T) {
+	p := &platformStub{}
+	a, b, n := newNode(t, "a", p), newNode(t, "b", p), newNode(t, "n", p)
+	for _, x := range []*node{a, b} {
+		x.state.Apply(&follow.Update{Complete: true, Revision: 7})
+	}
+	n.source.rank(Ranking{Sources: []Instance{{"a", a.address()}}, Live: 3})
+	n.read(t, 5)
+	n.source.rank(Ranking{Sources: []Instance{{"b", b.address()}}, Live: 3})
+	n.read(t, 7)
+	assert.Equal(t, len(n.source.clients), 1)
+	n.source.rank(Ranking{Live: 1})
+	n.read(t, 7)
+	assert.Equal(t, len(n.source.clients), 0)
+}
--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -99,7 +99,7 @@
 }
 
 // Announce keeps this instance known at the seeds until ctx ends, and learns
-// the ranking from them. On ctx's end it tells them that the instance leaves.
+// the ranking from them. Then it tells them that the instance leaves.
 func (s *Source) Announce(ctx context.Context) {
 	for {
 		s.announce(ctx, false)
@@ -144,18 +144,19 @@
 
 func (s *Source) rank(ranking Ranking) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if ranking.Live != s.ranking.Live {
+	old := s.ranking
+	s.ranking, s.rankedAt = ranking, time.Now()
+	s.mu.Unlock()
+	if ranking.Live != old.Live {
 		s.config.Instances(ranking.Live)
 	}
-	if !slices.Equal(ranking.Sources, s.ranking.Sources) {
+	if !slices.Equal(ranking.Sources, old.Sources) {
 		names := make([]string, len(ranking.Sources))
 		for i, r := range ranking.Sources {
 			names[i] = string(r.ID)
 		}
 		s.config.Log.Info("ranking-changed", "sources", strings.Join(names, ","), "live", ranking.Live)
 	}
-	s.ranking, s.rankedAt = ranking, time.Now()
 }
 
 // sources returns the instances that this one may follow, the best first.
@@ -314,11 +315,24 @@
 			continue
 		}
 		s.note(string(i.ID), nil)
+		s.closeOthers(i.ID)
 		return u, true
 	}
+	s.closeOthers("")
 	return follow.Update{}, false
 }
 
+// closeOthers ends the connections to instances other than the one that is
+// followed. Nobody would read what they send.
+func (s *Source) closeOthers(followed ids.Instance) {
+	for id, c := range s.clients {
+		if id != followed {
+			c.close()
+			delete(s.clients, id)
+		}
+	}
+}
+
 // Current returns the source of the last update: "platform", the id of an
 // instance, or "none" since a source was lost.
 func (s *Source) Current() string { return s.current.Load().(string) }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -66,8 +66,7 @@
 type Timing struct {
 	Wait  time.Duration // for which a read of changes waits
 	Slack time.Duration // allowed beyond Wait, and for a full read
-	// Interval is the least time between two reads of changes. Changes that come
-	// close together are then read at once.
+	// Interval is the least time between two reads of changes by a Paced source.
 	Interval time.Duration
 	// RetryMin and RetryMax bound the pause after a failed read.
 	RetryMin, RetryMax time.Duration
@@ -113,7 +112,6 @@
 // Run reads until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		start := time.Now()
 		update, err := f.read(ctx)
 		if ctx.Err() != nil {
 			return
@@ -123,9 +121,6 @@
 			continue
 		}
 		f.succeeded(&update)
-		if f.synced && len(update.Targets)+len(update.Invalid) > 0 || update.Config != nil {
-			pause(ctx, f.timing.Interval-time.Since(start))
-		}
 	}
 }
 
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -110,3 +110,16 @@
 		assert.Assert(t, timing.Interval < apply/4)
 	}
 }
+
+// Guards against a read of the platform for each of many changes that come close
+// together.
+func TestPaced(t *testing.T) {
+	s := &script{answers: make([]answer, 4)}
+	p := Paced(s, 30*time.Millisecond)
+	start := time.Now()
+	for range 4 {
+		_, err := p.ReadChanges(context.Background(), 0, 0, 0)
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, time.Since(start) >= 90*time.Millisecond)
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -57,7 +57,8 @@
 	commands *ring.Ring[func()] // run by the forwarding goroutine
 	state    *fanout.State
 	checker  *checker
-	peers    *fanout.Source // nil without an interface between instances
+	peers    *fanout.Source     // nil without an interface between instances
+	leave    context.CancelFunc // ends the announcements at the seeds
 	clock    clock
 	metrics  *metrics
 	tracer   *telemetry.Tracer
@@ -111,6 +112,7 @@
 		clock:    clock{time.Now()},
 		placed:   limiter{rate: placedLines},
 		departed: limiter{rate: departedLines},
+		leave:    func() {},
 		stop:     make(chan struct{}),
 	}
 	// A kernel that grants a smaller buffer is no fault.
@@ -207,6 +209,7 @@
 	case <-ctx.Done():
 	case <-f.stop:
 		f.fire(chart.InstanceStop)
+		f.leave()
 		f.log.Info("stopping", "grace", f.settings.Grace)
 		begin := f.clock.now()
 		for {
--- a/internal/forwarder/interfaces.go
+++ b/internal/forwarder/interfaces.go
@@ -47,7 +47,8 @@
 // source returns where publications are read: other instances and the platform,
 // or the platform alone when no interface between instances is set.
 func (f *Forwarder) source(ctx context.Context) (follow.Source, error) {
-	store := platform.NewStore(f.settings.Platform.String())
+	timing := follow.TimingFor(f.settings.ApplyWithin)
+	store := follow.Paced(platform.NewStore(f.settings.Platform.String()), timing.Interval)
 	if !f.settings.Control.IsValid() {
 		return store, nil
 	}
@@ -58,7 +59,6 @@
 		return nil, err
 	}
 	context.AfterFunc(ctx, func() { _ = server.Close() }) // the process ends
-	timing := follow.TimingFor(f.settings.ApplyWithin)
 	source := fanout.NewSource(store, fanout.Config{
 		DataCentre: f.settings.DataCentre,
 		Self:       fanout.Instance{ID: f.settings.Instance, Address: f.settings.Advertise},
@@ -69,6 +69,8 @@
 		Count:      f.metrics.countRead,
 	})
 	f.peers = source
-	go source.Announce(ctx)
+	announce, leave := context.WithCancel(ctx)
+	f.leave = leave
+	go source.Announce(announce)
 	return source, nil
 }
--- a/internal/passthrough/core.go
+++ b/internal/passthrough/core.go
@@ -31,6 +31,7 @@
 	instances int // that share the callers of the data centre
 
 	lastLife  ids.Time // last sign of life of any target
+	learned   ids.Time // when all targets were known for the first time
 	outageEnd ids.Time // when the platform answered again after an outage
 	swept     ids.Time
 }
@@ -183,7 +184,7 @@
 	}
 	t := c.choose(now, route.service(p.Flow), avoid, c.long(p.Flow.Service))
 	if t == nil {
-		return Decision{Reason: NoTarget, Service: route.service(p.Flow)}
+		return c.noTarget(now, route.service(p.Flow))
 	}
 	if t.trust.State() == chart.Suspected {
 		t.retry(now) // one flow at a time tries a suspected target
@@ -199,6 +200,17 @@
 	return d
 }
 
+// noTarget tells the caller at once that its flow cannot be served, unless the
+// records of live targets may have lapsed: then one may be there for the next copy
+// of the opening packet.
+func (c *Core) noTarget(now ids.Time, service ids.Service) Decision {
+	d := Decision{Reason: NoTarget, Service: service}
+	if c.learned != 0 && now.Sub(max(c.learned, c.outageEnd)) >= lapseGrace {
+		d.Verdict = Reset
+	}
+	return d
+}
+
 // observe learns from a packet of an open flow and adds what it found to d.
 func (c *Core) observe(now ids.Time, p *Packet, t *target, d *Decision) {
 	f := c.flows.get(p.Flow)
--- a/internal/passthrough/core_test.go
+++ b/internal/passthrough/core_test.go
@@ -512,3 +512,20 @@
 	const load = 7.0 / 16                      // of a map that has just grown
 	assert.Assert(t, float64(unsafe.Sizeof(flow{}))+float64(index)/load <= FlowBytes)
 }
+
+// Guards against callers that wait for their time-out although the service has no
+// target, and against a reset while live targets may be back in a moment.
+func TestServiceWithoutTargets(t *testing.T) {
+	c := New(Settings{DataCentre: "a", MaxFlows: 16, FlowLife: time.Minute})
+	c.Config(testConfig(1))
+	verdict := func(after time.Duration) Verdict {
+		return c.Packet(origin.Add(after), syn(flowOf(1, counterAt), 0)).Verdict
+	}
+	assert.Equal(t, verdict(time.Hour), Drop, "targets are not known yet")
+	c.Replace(origin.Add(time.Hour), nil)
+	assert.Equal(t, verdict(time.Hour+lapseGrace-ms), Drop)
+	assert.Equal(t, verdict(time.Hour+lapseGrace), Reset)
+	c.PlatformBack(origin.Add(2 * time.Hour))
+	assert.Equal(t, verdict(2*time.Hour+lapseGrace-ms), Drop)
+	assert.Equal(t, verdict(2*time.Hour+lapseGrace), Reset)
+}
--- a/internal/passthrough/learn.go
+++ b/internal/passthrough/learn.go
@@ -87,6 +87,9 @@
 // Replace records a complete list of targets. Those that are not in it are
 // removed.
 func (c *Core) Replace(now ids.Time, list []TargetRecord) {
+	if c.learned == 0 {
+		c.learned = now
+	}
 	present := make(map[string]bool, len(list))
 	for i := range list {
 		present[list[i].Name] = true
--- a/internal/passthrough/random_test.go
+++ b/internal/passthrough/random_test.go
@@ -97,6 +97,7 @@
 	case w.version[i] == 0:
 		assert.Equal(w.t, d.Verdict, Drop)
 	case w.dropped[i][to]:
+		assert.Equal(w.t, d.Reason, NoRoute)
 		assert.Equal(w.t, d.Verdict, Reset)
 	case d.Verdict == Forward:
 		r, ok := w.told[i][d.Target]
