passthrough: a check counts only if a reference answers the same check

One target that showed a sign of life was enough for an instance to trust its own checks while its link was full. Change: each check asks a target that has answered lately at the same time; without its answer the result is inconclusive.

--- a/internal/passthrough/core_test.go
+++ b/internal/passthrough/core_test.go
@@ -26,7 +26,7 @@
 func init() { _ = flag.Set("rapid.seed", "1") }
 
 func testConfig(version uint64) *Config {
-	return &Config{Version: version, IdleTimeout: 15 * time.Second, Health: map[ids.Service]string{"counter": "/health"}, Routes: []Route{
+	return &Config{Version: version, IdleTimeout: 15 * time.Second, Health: map[ids.Service]string{"counter": "/health", "slips": "/alive"}, Routes: []Route{
 		{Name: "counter", Address: counterAt, Splits: []Split{{"counter", 1}}, Timeout: 1500 * ms},
 		{Name: "slips", Address: slipsAt, Splits: []Split{{"slips", 1}}, Timeout: 5 * time.Second},
 	}}
@@ -441,6 +441,7 @@
 			c.Checks(func(k Check) { checks = append(checks, k) })
 			assert.Equal(t, len(checks), 1)
 			assert.Equal(t, checks[0].Target, d.Target)
+			assert.Equal(t, checks[0].Reference, Endpoint{}, "no other target has shown a sign of life")
 			began := now.Add(600 * ms)
 			checks[0].Born = test.born
 			now = now.Add(700 * ms)
@@ -487,7 +488,11 @@
 	assert.Equal(t, c.Packet(now.Add(checkLife-ms), p).Verdict, Reset)
 	assert.Equal(t, c.Packet(now.Add(checkLife), p).Verdict, Forward, "the partition may be healed")
 	now = now.Add(checkLife)
-	assert.Equal(t, len(fail()), 1, "it is checked again while it does not answer")
+	again := fail()
+	assert.Equal(t, len(again), 1, "it is checked again while it does not answer")
+	assert.Equal(t, again[0].Reference, c.targets.byName["slips-3"].Address)
+	c.Checked(now.Add(time.Second), again[0], now.Add(700*ms), CheckInconclusive)
+	assert.Equal(t, c.Packet(now.Add(time.Second), p).Verdict, Forward)
 }
 
 // Found in the logs of kelani-bump trouble-2: packets of a large request that
--- a/internal/passthrough/trust.go
+++ b/internal/passthrough/trust.go
@@ -89,7 +89,23 @@
 		return
 	}
 	t.checkedAt = now
-	c.checks = append(c.checks, Check{Target: t.Name, Born: t.Born, Address: t.Address, Path: path})
+	k := Check{Target: t.Name, Born: t.Born, Address: t.Address, Path: path}
+	if r := c.reference(t); r != nil {
+		k.Reference, k.ReferencePath = r.Address, c.routes.health[r.Service]
+	}
+	c.checks = append(c.checks, k)
+}
+
+// reference returns the target other than t that has shown the latest sign of
+// life, if there is one.
+func (c *Core) reference(t *target) *target {
+	var best *target
+	for _, o := range c.targets.slots {
+		if o != nil && o != t && o.lastLife != 0 && o.usable() && (best == nil || o.lastLife > best.lastLife) {
+			best = o
+		}
+	}
+	return best
 }
 
 // retry sets the time at which the suspected t may get a flow again.
@@ -120,6 +136,11 @@
 	Born    int64
 	Address Endpoint
 	Path    string
+	// Reference is the address of a target that has answered lately. Without an
+	// answer of its own within the same time the check shows nothing about Target:
+	// this instance or its link is short of time. Its port is 0 when there is none.
+	Reference     Endpoint
+	ReferencePath string
 }
 
 // Checks calls f with each liveness check that is due since the last call.
@@ -141,12 +162,13 @@
 // Outcomes of a liveness check. What a target says of its health is not used:
 // it may be wrong either way, and what callers see counts more.
 const (
-	CheckAnswered    CheckResult = iota // the target has answered, whatever it said
-	CheckUnreachable                    // the connection was refused, or there was no answer in time
-	CheckReplaced                       // another target has its address: it has ended
+	CheckAnswered     CheckResult = iota // the target has answered, whatever it said
+	CheckUnreachable                     // refused, or without an answer in time, while the reference answered
+	CheckReplaced                        // another target has its address: it has ended
+	CheckInconclusive                    // neither the target nor the reference has answered
 )
 
-var checkNames = [...]string{"answered", "unreachable", "replaced"}
+var checkNames = [...]string{"answered", "unreachable", "replaced", "inconclusive"}
 
 func (r CheckResult) String() string { return checkNames[r] }
 
