eventqueue, syncbuf: one copy of the event queue and of the log buffer of tests

The event heap stood in internal/experiment, internal/proof and, new, in the simulation of internal/passthrough; the locked buffer in two tests. core_test.go is split by subject. The tests of all four packages pass (proof 35 s).

--- /dev/null
+++ b/internal/eventqueue/eventqueue_test.go
@@ -0,0 +1,29 @@
+package eventqueue
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
+)
+
+// Guards against events that run out of order, too early, or, at the same time,
+// in another order than that in which they were pushed.
+func TestOrder(t *testing.T) {
+	var q Queue
+	var got []int
+	for i, at := range []ids.Time{5, 3, 5, 1, 3, 9} {
+		q.Push(at, func() { got = append(got, i) })
+	}
+	for {
+		_, do, ok := q.Next(5)
+		if !ok {
+			break
+		}
+		do()
+	}
+	assert.DeepEqual(t, got, []int{3, 1, 4, 0, 2})
+	at, _, ok := q.Next(9)
+	assert.Assert(t, ok && at == 9)
+}
--- /dev/null
+++ b/internal/passthrough/trust_test.go
@@ -0,0 +1,214 @@
+package passthrough
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Pattern: a target falls silent under load. Guards against new flows that
+// still go there after its first unanswered opening.
+func TestSilentTargetIsAvoided(t *testing.T) {
+	c := testCore()
+	silent := c.Packet(origin, syn(flowOf(1, counterAt), 0)).Target
+	now := origin.Add(answerTime)
+	for i := range 40 {
+		now = now.Add(5 * ms)
+		f := flowOf(100+i, counterAt)
+		d := c.Packet(now, syn(f, 0))
+		assert.Assert(t, d.Target != silent, "flow %d", i)
+		c.Packet(now.Add(ms), request(f, d.Cookie))
+	}
+	retry := 0
+	for i := range 40 {
+		now = now.Add(50 * ms)
+		f := flowOf(200+i, counterAt)
+		if d := c.Packet(now, syn(f, 0)); d.Target == silent {
+			retry++
+		} else {
+			c.Packet(now.Add(ms), request(f, d.Cookie))
+		}
+	}
+	assert.Assert(t, retry >= 1 && retry <= 3, "%d tries in 2 s", retry)
+}
+
+// Guards against a suspicion that outlives a sign of life.
+func TestSignOfLifeEndsSuspicion(t *testing.T) {
+	c := testCore()
+	f := flowOf(1, counterAt)
+	d := c.Packet(origin, syn(f, 0))
+	c.Tick(origin.Add(answerTime))
+	target := c.targets.byName[d.Target]
+	assert.Assert(t, target.suspected(origin.Add(answerTime)))
+	c.Packet(origin.Add(300*ms), request(f, d.Cookie))
+	assert.Assert(t, !target.suspected(origin.Add(300*ms)))
+}
+
+// Guards against a service without targets while all of them are suspected.
+func TestAllSuspected(t *testing.T) {
+	c := testCore()
+	now := origin
+	for i := range 10 {
+		now = now.Add(answerTime)
+		assert.Equal(t, c.Packet(now, syn(flowOf(i, counterAt), 0)).Verdict, Forward)
+	}
+}
+
+// Pattern: a target crashes or leaves with long flows open. Guards against
+// callers whose next request waits for its time-out, and against a reset of the
+// flows of a target that is merely cut off from the platform, that restarted, or
+// whose record was overwritten.
+func TestFlowsOfDeadTargetAreReset(t *testing.T) {
+	later := origin.Add(20 * time.Second)
+	for name, test := range map[string]struct {
+		change func(c *Core, name string)
+		want   Verdict
+	}{
+		"crashed":     {func(c *Core, name string) { c.Remove(later, name) }, Reset},
+		"not removed": {func(*Core, string) {}, Forward},
+		"overwritten": {func(c *Core, name string) { c.Disregard(later, name) }, Forward},
+		"overwritten, complete list": {func(c *Core, name string) {
+			c.Disregard(later, name)
+			c.Replace(later, nil)
+		}, Forward},
+		"answering": {func(c *Core, name string) {
+			c.Remove(later, name)
+			c.alive(later.Add(-time.Second), c.targets.byName[name])
+		}, Forward},
+		"left": {func(c *Core, name string) {
+			c.targets.byName[name].Draining = true
+			c.alive(later.Add(-time.Second), c.targets.byName[name])
+			c.Remove(later, name)
+		}, Reset},
+		"lapsed in an outage": {func(c *Core, name string) {
+			c.PlatformBack(later)
+			c.Remove(later, name)
+		}, Forward},
+		"missing after an outage": {func(c *Core, name string) {
+			c.PlatformBack(later.Add(-time.Minute))
+			c.Remove(later.Add(-time.Minute), name)
+			c.Tick(later)
+		}, Reset},
+		"back again": {func(c *Core, name string) {
+			r := c.targets.byName[name].TargetRecord
+			c.Remove(later, name)
+			c.Put(later, &r)
+		}, Forward},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := testCore()
+			f := flowOf(1, counterAt)
+			d := open(t, c, origin, f)
+			test.change(c, d.Target)
+			got := c.Packet(later.Add(50*ms), request(f, d.Cookie))
+			assert.Equal(t, got.Verdict, test.want, got.Reason.String())
+			assert.Equal(t, c.Packet(later.Add(60*ms), &Packet{Flow: f, Flags: RST, Cookie: d.Cookie}).Verdict != Reset, true, "a reset is never answered")
+		})
+	}
+}
+
+// Pattern: targets crash or fall silent with long flows open. Guards against
+// callers whose requests wait for their time-out although a check has shown that
+// the target is gone, and against resets because this instance is cut off, the
+// check is out of date or the target has shown that it is alive.
+func TestCheckOfSuspectedTarget(t *testing.T) {
+	for name, test := range map[string]struct {
+		result   CheckResult
+		others   bool // show signs of life
+		life     bool // of the target, after the check began
+		idle     bool // the packet has no data
+		born     int64
+		want     Verdict
+		newFlows bool // are still placed there once its retry is due
+	}{
+		"replaced":                  {result: CheckReplaced, want: Reset},
+		"replaced, idle":            {result: CheckReplaced, idle: true, want: Reset},
+		"replaced, alive":           {result: CheckReplaced, life: true, want: Forward, newFlows: true},
+		"replaced, other run":       {result: CheckReplaced, born: 9, want: Forward, newFlows: true},
+		"unreachable":               {result: CheckUnreachable, others: true, want: Reset, newFlows: true},
+		"unreachable, idle":         {result: CheckUnreachable, others: true, idle: true, want: Forward, newFlows: true},
+		"unreachable, cut off here": {result: CheckUnreachable, want: Forward, newFlows: true},
+		"answered":                  {result: CheckAnswered, others: true, want: Forward, newFlows: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := testCore()
+			f := flowOf(1, counterAt)
+			d := open(t, c, origin, f)
+			now := origin.Add(time.Second)
+			p := request(f, d.Cookie)
+			p.Seq = 151
+			c.Packet(now, p)
+			c.Packet(now.Add(200*ms), p)
+			c.Packet(now.Add(600*ms), p)
+			var checks []Check
+			c.Checks(func(k Check) { checks = append(checks, k) })
+			assert.Equal(t, len(checks), 1)
+			assert.Equal(t, checks[0].Target, d.Target)
+			assert.Equal(t, checks[0].Reference, Endpoint{}, "no other target has shown a sign of life")
+			began := now.Add(600 * ms)
+			checks[0].Born = test.born
+			now = now.Add(700 * ms)
+			if test.others {
+				c.alive(now, c.targets.byName["slips-3"])
+			}
+			if test.life {
+				c.alive(now, c.targets.byName[d.Target])
+			}
+			now = now.Add(100 * ms)
+			c.Checked(now, checks[0], began, test.result)
+			if test.idle {
+				p.Length = 0
+			}
+			assert.Equal(t, c.Packet(now, p).Verdict, test.want)
+			assert.Equal(t, c.targets.byName[d.Target].usable(), test.newFlows)
+		})
+	}
+}
+
+// Guards against a check that holds for longer than checkLife, and against a
+// target that is not checked again.
+func TestCheckExpires(t *testing.T) {
+	c := testCore()
+	f := flowOf(1, counterAt)
+	d := open(t, c, origin, f)
+	now := origin.Add(time.Second)
+	p := request(f, d.Cookie)
+	p.Seq = 151
+	fail := func() (checks []Check) {
+		for _, pause := range []time.Duration{0, 200 * ms, 600 * ms} {
+			c.Packet(now.Add(pause), p)
+		}
+		c.Checks(func(k Check) { checks = append(checks, k) })
+		return checks
+	}
+	checks := fail()
+	assert.Equal(t, len(checks), 1)
+	now = now.Add(time.Second)
+	c.alive(now, c.targets.byName["slips-3"])
+	c.Checked(now, checks[0], now.Add(-ms), CheckUnreachable)
+	assert.Equal(t, c.Packet(now.Add(checkLife-ms), p).Verdict, Reset)
+	assert.Equal(t, c.Packet(now.Add(checkLife), p).Verdict, Forward, "the partition may be healed")
+	now = now.Add(checkLife)
+	again := fail()
+	assert.Equal(t, len(again), 1, "it is checked again while it does not answer")
+	assert.Equal(t, again[0].Reference, c.targets.byName["slips-3"].Address)
+	c.Checked(now.Add(time.Second), again[0], now.Add(700*ms), CheckInconclusive)
+	assert.Equal(t, c.Packet(now.Add(time.Second), p).Verdict, Forward)
+}
+
+// Found in the logs of kelani-bump trouble-2: packets of a large request that
+// came out of order were counted as repeated. Guards against a target that is
+// suspected for it.
+func TestReorderedRequest(t *testing.T) {
+	c := testCore()
+	f := flowOf(1, counterAt)
+	d := open(t, c, origin, f)
+	for i, seq := range []uint32{351, 251, 151, 301, 201} {
+		p := request(f, d.Cookie)
+		p.Seq = seq
+		got := c.Packet(origin.Add(20*ms+time.Duration(i)*ms), p)
+		assert.Equal(t, got.Stalled, time.Duration(0))
+	}
+	assert.Assert(t, !c.targets.byName[d.Target].suspected(origin.Add(30*ms)))
+}
