--- a/internal/passthrough/load_test.go
+++ b/internal/passthrough/load_test.go
@@ -191,8 +191,7 @@
 			done()
 		})
 	}
-	var run func()
-	run = func() {
+	run := func() {
 		t.running++
 		s.after(work, func() {
 			t.running--
