fanout: a difference names the version from which it differs

Ruled out: an older version in force (config-applied shows 8), a lost update. Change: followers tell which version they have; an instance that has not had it sends the whole one.

--- a/internal/fanout/client.go
+++ b/internal/fanout/client.go
@@ -23,9 +23,14 @@
 	maxUpdate = 16 << 20
 )
 
+// errBase is the error of a difference from a version that this instance does not
+// have.
+var errBase = eris.New("its difference is from another version")
+
 // client follows one instance.
 type client struct {
 	instance Instance
+	version  func() uint64 // present version of the configuration
 	conn     *websocket.Conn
 	revision uint64 // up to which conn has delivered
 }
@@ -52,6 +57,10 @@
 		c.close()
 		return follow.Update{}, eris.Wrapf(err, "decode update of instance %s", c.instance.ID)
 	}
+	if d := u.ConfigDelta; d != nil && d.Base != c.version() {
+		c.close()
+		return follow.Update{}, eris.Wrapf(errBase, "instance %s: %d", c.instance.ID, d.Base)
+	}
 	c.revision = u.Revision
 	return u, nil
 }
@@ -59,7 +68,8 @@
 func (c *client) dial(ctx context.Context, after uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	url := "ws://" + c.instance.Address.String() + updatesPath + "?after=" + strconv.FormatUint(after, 10)
+	url := "ws://" + c.instance.Address.String() + updatesPath +
+		"?after=" + strconv.FormatUint(after, 10) + "&version=" + strconv.FormatUint(c.version(), 10)
 	conn, response, err := websocket.Dial(ctx, url, &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled})
 	if response != nil && response.StatusCode != http.StatusSwitchingProtocols {
 		err = eris.Errorf("status %d", response.StatusCode)
--- a/internal/fanout/routes.go
+++ b/internal/fanout/routes.go
@@ -11,71 +11,90 @@
 // routes holds the configuration and when each of its routes has changed, so that
 // followers get the difference: a version with 1,500 routes takes a second to reach
 // eight followers over a link of 10 Mbit/s.
+//
+// Versions may be skipped, so an instance can tell the difference only from
+// versions that it has had itself: it does not know the routes of others.
 type routes struct {
-	config   *passthrough.Config
-	revision uint64 // of the last version
-	floor    uint64 // followers behind it get the whole version
-	changed  map[passthrough.Endpoint]uint64
-	removed  map[passthrough.Endpoint]uint64
+	config *passthrough.Config
+	// step numbers the versions that this instance has had, in their order.
+	step    uint64
+	steps   map[uint64]uint64 // by version
+	changed map[passthrough.Endpoint]uint64
+	removed map[passthrough.Endpoint]uint64
 }
 
-// apply records a version of the configuration, whole or as a difference, and
-// returns the whole one. ok is false for a difference from an unknown version.
-func (r *routes) apply(u *follow.Update) (config *passthrough.Config, ok bool) {
-	config = u.Config
-	if u.ConfigDelta != nil {
-		if r.config == nil {
-			return nil, false
+// versionLimit is the number of versions, and of removed routes, that are
+// remembered for followers.
+const versionLimit = 1024
+
+// version returns the version of the configuration, 0 for none.
+func (r *routes) version() uint64 {
+	if r.config == nil {
+		return 0
+	}
+	return r.config.Version
+}
+
+// apply records the version that an update carries, whole or as a difference, and
+// returns the whole one, or nil for a difference from another version than the
+// present one.
+func (r *routes) apply(u *follow.Update) *passthrough.Config {
+	config := u.Config
+	if d := u.ConfigDelta; d != nil {
+		if r.config == nil || d.Base != r.config.Version {
+			return nil
 		}
-		config = merge(r.config, u.ConfigDelta)
+		config = merge(r.config, d)
 	}
 	old := map[passthrough.Endpoint]*passthrough.Route{}
-	if r.config == nil {
-		r.floor = u.Revision
+	if r.config == nil || len(r.steps) >= versionLimit || len(r.removed) >= versionLimit {
+		// Followers with an earlier version get this one as a whole.
+		r.steps = map[uint64]uint64{}
 		r.changed = map[passthrough.Endpoint]uint64{}
 		r.removed = map[passthrough.Endpoint]uint64{}
-	} else {
+	}
+	if r.config != nil {
 		for i := range r.config.Routes {
 			old[r.config.Routes[i].Address] = &r.config.Routes[i]
 		}
 	}
+	r.step++
 	for i := range config.Routes {
 		route := &config.Routes[i]
 		if before := old[route.Address]; before == nil || !route.Equal(before) {
-			r.changed[route.Address] = u.Revision
+			r.changed[route.Address] = r.step
 		}
 		delete(old, route.Address)
 		delete(r.removed, route.Address)
 	}
 	for at := range old {
 		delete(r.changed, at)
-		r.removed[at] = u.Revision
+		r.removed[at] = r.step
 	}
-	if len(r.removed) > logLimit {
-		clear(r.removed)
-		r.floor = u.Revision
-	}
-	r.config, r.revision = config, u.Revision
-	return config, true
+	r.config = config
+	r.steps[config.Version] = r.step
+	return config
 }
 
-// since adds what a follower lacks that knows everything up to a revision.
-func (r *routes) since(after uint64, u *follow.Update) {
-	switch {
-	case r.config == nil || r.revision <= after:
+// since adds the present version for a follower that has an earlier one: the
+// difference, if this instance has had that one too.
+func (r *routes) since(version uint64, u *follow.Update) {
+	if r.config == nil || r.config.Version == version {
 		return
-	case after < r.floor:
+	}
+	step, had := r.steps[version]
+	if !had {
 		u.Config = r.config
 		return
 	}
-	d := &follow.ConfigDelta{Version: r.config.Version, IdleTimeout: r.config.IdleTimeout, Health: r.config.Health}
+	d := &follow.ConfigDelta{Version: r.config.Version, Base: version, IdleTimeout: r.config.IdleTimeout, Health: r.config.Health}
 	for i := range r.config.Routes {
-		if r.changed[r.config.Routes[i].Address] > after {
+		if r.changed[r.config.Routes[i].Address] > step {
 			d.Routes = append(d.Routes, r.config.Routes[i])
 		}
 	}
-	for at, revision := range r.removed {
-		if revision > after {
+	for at, removed := range r.removed {
+		if removed > step {
 			d.Removed = append(d.Removed, at)
 		}
 	}
--- a/internal/fanout/server.go
+++ b/internal/fanout/server.go
@@ -24,7 +24,7 @@
 	// read.
 	writeTimeout = time.Second
 
-	updatesPath   = "/v1/updates"   // WebSocket with CBOR: updates after a revision
+	updatesPath   = "/v1/updates"   // WebSocket with CBOR: updates after a revision and a version
 	instancesPath = "/v1/instances" // announces an instance and returns the ranking
 )
 
@@ -46,14 +46,15 @@
 	mux.HandleFunc("GET "+instancesPath, s.instances)
 }
 
-// updates sends what changes after a revision until the follower leaves.
+// updates sends what a follower lacks, and what changes, until it leaves.
 func (s *Server) updates(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	if err != nil {
-		http.Error(w, "after must be a revision", http.StatusBadRequest)
+	version, err2 := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
+	if err != nil || err2 != nil {
+		http.Error(w, "after must be a revision and version that of a configuration", http.StatusBadRequest)
 		return
 	}
-	if _, _, ok := s.state.Since(after); !ok {
+	if _, _, ok := s.state.Since(after, version); !ok {
 		// Whoever waited here would get everything as soon as it is known; after
 		// a common start that is every instance.
 		http.Error(w, "nothing is known yet", http.StatusServiceUnavailable)
@@ -70,11 +71,17 @@
 	heartbeat := time.NewTicker(heartbeatEvery)
 	defer heartbeat.Stop()
 	for {
-		update, changed, _ := s.state.Since(after) // what is known stays known
+		update, changed, _ := s.state.Since(after, version) // what is known stays known
 		if err := send(ctx, ws, &update); err != nil {
 			return // the follower reports the loss of its source
 		}
 		after = update.Revision
+		switch {
+		case update.Config != nil:
+			version = update.Config.Version
+		case update.ConfigDelta != nil:
+			version = update.ConfigDelta.Version
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -57,6 +57,8 @@
 	// the platform is read directly.
 	MaxAge time.Duration
 	Log    *slog.Logger
+	// Version returns the present version of the configuration, 0 for none.
+	Version func() uint64
 	// Instances is called with the number of live instances of the data centre
 	// when it has changed.
 	Instances func(n int)
@@ -245,7 +247,7 @@
 		for _, i := range list {
 			failed := make(chan struct{})
 			reads.Go(func() {
-				c := client{instance: i}
+				c := client{instance: i, version: noVersion}
 				u, err := c.read(ctx, 0)
 				c.close()
 				answers <- answer{u, err, string(i.ID)}
@@ -264,6 +266,9 @@
 	return answers
 }
 
+// noVersion is the version of an instance that starts.
+func noVersion() uint64 { return 0 }
+
 // known returns the instances whose state may be read at a start.
 func (s *Source) known() []Instance {
 	list := slices.Clone(s.sources())
@@ -298,7 +303,7 @@
 		}
 		c := s.clients[i.ID]
 		if c == nil || c.instance != i {
-			c = &client{instance: i}
+			c = &client{instance: i, version: s.config.Version}
 			s.clients[i.ID] = c
 		}
 		u, err := c.read(ctx, after)
--- a/internal/fanout/state.go
+++ b/internal/fanout/state.go
@@ -52,7 +52,7 @@
 		s.known = true
 	}
 	if u.Config != nil || u.ConfigDelta != nil {
-		u.Config, _ = s.routes.apply(u)
+		u.Config = s.routes.apply(u)
 		u.ConfigDelta = nil
 	}
 	for _, t := range u.Targets {
@@ -78,10 +78,18 @@
 	}
 }
 
-// Since returns what has changed after a revision, or everything when that is
-// not known any more, and a channel that is closed at the next change. ok is
-// false while nothing is known.
-func (s *State) Since(after uint64) (u follow.Update, next <-chan struct{}, ok bool) {
+// Version returns the version of the configuration, 0 for none.
+func (s *State) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.routes.version()
+}
+
+// Since returns what a follower lacks that knows everything up to a revision and
+// has a version of the configuration, or everything when that is not known any
+// more, and a channel that is closed at the next change. ok is false while nothing
+// is known.
+func (s *State) Since(after, version uint64) (u follow.Update, next <-chan struct{}, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.known {
@@ -98,7 +106,7 @@
 		}
 		return u, s.changed, true
 	}
-	s.routes.since(after, &u)
+	s.routes.since(version, &u)
 	first := len(s.log)
 	for first > 0 && s.log[first-1].revision > after {
 		first--
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -56,10 +56,11 @@
 	AfterOutage bool `cbor:"6,keyasint,omitempty"`
 }
 
-// ConfigDelta tells how a version of the configuration differs from the one that
-// was known at the revision asked for.
+// ConfigDelta tells how a version of the configuration differs from an earlier
+// one, which need not be the one just before.
 type ConfigDelta struct {
 	Version     uint64                 `cbor:"1,keyasint"`
+	Base        uint64                 `cbor:"6,keyasint"` // version from which it differs
 	IdleTimeout time.Duration          `cbor:"2,keyasint,omitempty"`
 	Health      map[ids.Service]string `cbor:"3,keyasint,omitempty"`
 	Routes      []passthrough.Route    `cbor:"4,keyasint,omitempty"` // new or changed
--- a/internal/forwarder/interfaces.go
+++ b/internal/forwarder/interfaces.go
@@ -65,6 +65,7 @@
 		Seeds:      strings.FieldsFunc(f.settings.Seeds, func(r rune) bool { return r == ',' }),
 		MaxAge:     timing.Wait + timing.Slack,
 		Log:        f.log,
+		Version:    f.state.Version,
 		Instances:  func(n int) { f.run(ctx, func() { f.core.SetInstances(n) }) },
 		Count:      f.metrics.countRead,
 	})
