--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -426,3 +426,21 @@
 	n.read(t, 7)
 	assert.Equal(t, len(n.source.clients), 0)
 }
+
+// Guards against a difference that is applied to another version than that from
+// which it differs: this instance has read the platform meanwhile.
+func TestDifferenceFromOtherVersion(t *testing.T) {
+	p := &platformStub{}
+	a, n := newNode(t, "a", p), newNode(t, "n", p)
+	for _, x := range []*node{a, n} {
+		x.state.Apply(&follow.Update{Complete: true, Revision: 7, Config: &passthrough.Config{Version: 1}})
+	}
+	n.source.rank(Ranking{Sources: []Instance{{"a", a.address()}}, Live: 2})
+	assert.Equal(t, n.read(t, 7).Revision, uint64(7))
+	n.state.Apply(&follow.Update{Complete: true, Revision: 8, Config: &passthrough.Config{Version: 2}})
+	a.state.Apply(&follow.Update{Revision: 9, Config: &passthrough.Config{Version: 3}})
+	for p.reads.Load() == 0 { // heartbeats may come before the difference
+		u := n.read(t, 7)
+		assert.Assert(t, u.ConfigDelta == nil)
+	}
+}
