--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -121,6 +121,7 @@
 	f.metrics = newMetrics(f)
 	f.core = passthrough.New(passthrough.Settings{
 		DataCentre: s.DataCentre,
+		Regions:    s.Regions,
 		MaxFlows:   maxFlows(s.MemoryBytes),
 		FlowLife:   s.FlowLife,
 		Seed:       ids.Hash(string(s.Instance)) ^ uint64(time.Now().UnixNano()),
--- a/internal/forwarder/reload.go
+++ b/internal/forwarder/reload.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"reflect"
 	"time"
 
 	"arbutusdock.example/arbutusdock/internal/settings"
@@ -71,5 +72,5 @@
 	f.level.Set(s.Passthrough.Log.Level)
 	next := *s.Passthrough
 	next.Log = f.settings.Log
-	f.log.Info("reloaded", "cause", cause, "log_level", f.level.Level(), "restart_needed", next != *f.settings)
+	f.log.Info("reloaded", "cause", cause, "log_level", f.level.Level(), "restart_needed", !reflect.DeepEqual(next, *f.settings))
 }
--- a/internal/passthrough/choose.go
+++ b/internal/passthrough/choose.go
@@ -19,6 +19,7 @@
 	// its marks are lower than those of a flow that stays open.
 	remotePenalty = 4.0
 	remoteMinimum = 0.25
+	farPenalty    = 2.0 // more for another region, whose round trip takes a run time
 	shortLow      = 0.5
 	shortHigh     = 1.0
 	longLow       = 0.8
@@ -81,6 +82,9 @@
 			t = list[c.draw(len(list))]
 		}
 		load := t.load(now) + extra
+		if t.far {
+			load += farPenalty
+		}
 		if t == avoid || t.suspected(now) {
 			if s.fallback == nil || s.fallback == avoid || (t != avoid && load < s.fallbackLoad) {
 				s.fallback, s.fallbackLoad = t, load
--- a/internal/passthrough/core.go
+++ b/internal/passthrough/core.go
@@ -9,10 +9,11 @@
 
 // Settings of a Core.
 type Settings struct {
-	DataCentre ids.DataCentre // own data centre
-	MaxFlows   int            // flows remembered, FlowBytes each
-	FlowLife   time.Duration  // age after which a flow may be forgotten
-	Seed       uint64         // of random choices
+	DataCentre ids.DataCentre    // own data centre
+	Regions    map[string]string // by data centre; one that is missing counts as near
+	MaxFlows   int               // flows remembered, FlowBytes each
+	FlowLife   time.Duration     // age after which a flow may be forgotten
+	Seed       uint64            // of random choices
 }
 
 // Core is the decision logic of one instance.
@@ -45,7 +46,7 @@
 
 // New returns a core without configuration and targets.
 func New(s Settings) *Core {
-	return &Core{settings: s, targets: newTargetTable(s.DataCentre), lengths: map[Endpoint]float64{}, instances: 1, flows: newFlowTable(max(s.MaxFlows, 1)), random: s.Seed}
+	return &Core{settings: s, targets: newTargetTable(s.DataCentre, s.Regions), lengths: map[Endpoint]float64{}, instances: 1, flows: newFlowTable(max(s.MaxFlows, 1)), random: s.Seed}
 }
 
 // Verdict is what is to be done with a packet.
--- a/internal/passthrough/core_test.go
+++ b/internal/passthrough/core_test.go
@@ -200,6 +200,25 @@
 	assert.Assert(t, away > 0)
 }
 
+// Guards against flows to another region while the own one has room, and against
+// data centres without a region that count as far.
+func TestOwnRegionFirst(t *testing.T) {
+	c := New(Settings{DataCentre: "a", MaxFlows: 1 << 12, FlowLife: time.Minute, Seed: 1, Regions: map[string]string{"a": "r1", "b": "r1", "c": "r2"}})
+	c.Config(testConfig(1))
+	for n, dc := range []ids.DataCentre{"b", "c", "d"} {
+		r := record(n+1, "counter", dc)
+		c.Put(origin, &r)
+	}
+	counts := map[string]int{}
+	for i := range 8 {
+		f := flowOf(i, counterAt)
+		d := c.Packet(origin, syn(f, 0))
+		c.Packet(origin, request(f, d.Cookie))
+		counts[d.Target]++
+	}
+	assert.DeepEqual(t, counts, map[string]int{"counter-1": 4, "counter-3": 4})
+}
+
 // Guards against load that is never taken off again: after all flows have ended
 // in one way or another, every target is idle.
 func TestLoadReturnsToZero(t *testing.T) {
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -47,6 +47,7 @@
 	shadowed bool   // an older target has the same cookie
 	pool     *pool  // in which it is a candidate, nil for none
 	local    bool   // it is in the data centre of the instance
+	far      bool   // it is in another region
 	position int    // in its list of the pool
 }
 
@@ -87,7 +88,8 @@
 
 // targetTable holds the backend servers by cookie and by service.
 type targetTable struct {
-	dataCentre ids.DataCentre // of the instance
+	dataCentre ids.DataCentre    // of the instance
+	regions    map[string]string // by data centre
 	byName     map[string]*target
 	byCookie   map[Cookie]*target
 	pools      map[ids.Service]*pool
@@ -96,9 +98,10 @@
 	runs       uint32 // targets so far
 }
 
-func newTargetTable(dc ids.DataCentre) targetTable {
+func newTargetTable(dc ids.DataCentre, regions map[string]string) targetTable {
 	return targetTable{
 		dataCentre: dc,
+		regions:    regions,
 		byName:     map[string]*target{},
 		byCookie:   map[Cookie]*target{},
 		pools:      map[ids.Service]*pool{},
@@ -216,6 +219,13 @@
 	return t.Identity < o.Identity
 }
 
+// far reports whether a data centre is known to be in another region.
+func (tt *targetTable) far(dc ids.DataCentre) bool {
+	own, known := tt.regions[string(tt.dataCentre)]
+	other, also := tt.regions[string(dc)]
+	return known && also && own != other
+}
+
 // list puts t among the candidates of its service, or takes it out.
 func (tt *targetTable) list(t *target) {
 	switch {
@@ -228,6 +238,7 @@
 			tt.pools[t.Service] = p
 		}
 		t.local = t.DataCentre == tt.dataCentre
+		t.far = tt.far(t.DataCentre)
 		p.add(t)
 	}
 }
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -27,8 +27,11 @@
 	Grace       time.Duration // from SIGTERM to the forced end
 	FlowLife    time.Duration // age after which a flow may be forgotten
 	MemoryBytes int64         // limit of the process; 0 for none
-	Log         Log
-	Trace       Trace
+	// Regions holds the region of each data centre; those that are not in it count
+	// as near.
+	Regions map[string]string
+	Log     Log
+	Trace   Trace
 }
 
 // parsePassthrough reads the tables of a pass-through instance.
@@ -48,6 +51,7 @@
 		MemoryBytes: r.integer("passthrough.memory_mb", 0, 0, 1<<20) << 20,
 	}
 	p.Advertise = r.addrPort("passthrough.advertise", p.Control)
+	p.Regions = r.texts("regions")
 	parseLog(r, &p.Log)
 	parseTrace(r, &p.Trace)
 	return p
--- a/internal/settings/reader.go
+++ b/internal/settings/reader.go
@@ -318,6 +318,17 @@
 	return a
 }
 
+// texts reads a table whose keys are names and whose values are strings.
+func (r *reader) texts(table string) map[string]string {
+	out := map[string]string{}
+	for key := range r.values {
+		if name, ok := strings.CutPrefix(key, table+"."); ok {
+			out[name] = r.text(key)
+		}
+	}
+	return out
+}
+
 // addrPorts reads a list of IP:port and joins it by commas.
 func (r *reader) addrPorts(key string) string {
 	list, _ := get[[]any](r, key, "a list of IP:port")
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -77,6 +77,7 @@
 	assert.Equal(t, p.Advertise, p.Control)
 	assert.Equal(t, p.Seeds, "10.1.0.10:8166,10.2.0.40:8166")
 	assert.Equal(t, p.MemoryBytes, int64(414)<<20)
+	assert.DeepEqual(t, p.Regions, map[string]string{"a": "south", "b": "south"})
 	minimal, err := Parse([]byte("instance={id='a',data_centre='d'}\n[passthrough]\nlisten='127.0.0.1:1'\nready='127.0.0.1:2'\nplatform='127.0.0.1:3'\n"))
 	assert.NilError(t, err)
 	assert.Equal(t, minimal.Passthrough.ApplyWithin, p.ApplyWithin)
@@ -86,7 +87,8 @@
 
 	template, err := os.ReadFile("../../deploy/settings.toml")
 	assert.NilError(t, err)
-	text := regexp.MustCompile(`\{\{[#/][^}]*\}\}`).ReplaceAllString(string(template), "")
+	text := strings.Replace(string(template), `{{@}} = {{.|json}}`, `a = "south"`, 1)
+	text = regexp.MustCompile(`\{\{[#/][^}]*\}\}`).ReplaceAllString(text, "")
 	text = strings.NewReplacer(`{{node|json}}`, `"edge-1"`, `{{zone|json}}`, `"a"`, `{{ip}}`, "10.1.0.10", `{{seeds|json}}`, `["10.1.0.10:8166"]`,
 		`{{limits.memory-mb}}`, "414").Replace(text)
 	text = regexp.MustCompile(`\{\{[a-z.-]*\|json\}\}`).ReplaceAllString(text, `"10.1.0.10:81"`)
