passthrough: whether a target has outlived its record follows from the heartbeat

A sign of life after the first heartbeat that was surely missed shows that the target was cut off from the platform only. The interval is a setting that the template fills in.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -124,6 +124,7 @@
 		Regions:    s.Regions,
 		MaxFlows:   maxFlows(s.MemoryBytes),
 		FlowLife:   s.FlowLife,
+		Heartbeat:  s.Heartbeat,
 		Seed:       ids.Hash(string(s.Instance)) ^ uint64(time.Now().UnixNano()),
 	})
 	return f, nil
--- a/internal/passthrough/core.go
+++ b/internal/passthrough/core.go
@@ -13,6 +13,7 @@
 	Regions    map[string]string // by data centre; one that is missing counts as near
 	MaxFlows   int               // flows remembered, FlowBytes each
 	FlowLife   time.Duration     // age after which a flow may be forgotten
+	Heartbeat  time.Duration     // interval at which targets renew their records
 	Seed       uint64            // of random choices
 }
 
--- a/internal/passthrough/core_test.go
+++ b/internal/passthrough/core_test.go
@@ -41,7 +41,7 @@
 
 // testCore has two counter targets and one slip target in the own data centre.
 func testCore() *Core {
-	c := New(Settings{DataCentre: "a", MaxFlows: 1 << 12, FlowLife: time.Minute, Seed: 1})
+	c := New(Settings{DataCentre: "a", MaxFlows: 1 << 12, FlowLife: time.Minute, Heartbeat: time.Second, Seed: 1})
 	c.Config(testConfig(1))
 	for _, r := range []TargetRecord{record(1, "counter", "a"), record(2, "counter", "a"), record(3, "slips", "a")} {
 		c.Put(origin, &r)
--- a/internal/passthrough/learn.go
+++ b/internal/passthrough/learn.go
@@ -79,11 +79,21 @@
 // up: it has left, or was silent for several heartbeats.
 func (c *Core) remove(now ids.Time, t *target) {
 	c.targets.remove(t)
-	t.ended = true
+	t.ended = t.Draining || !c.outlived(now, t)
 	c.gone = append(c.gone, removal{t.Name, t.Born, now})
 	c.note(Event{Kind: TargetChanged, Target: t.Name, Service: t.Service, Reason: c.lifecycle(t), Address: t.Address})
 }
 
+// heartbeatsMissed is the number of heartbeats that a target has missed for
+// certain when its record lapses: the third is due at that moment.
+const heartbeatsMissed = 2
+
+// outlived reports whether a target has shown a sign of life after the first
+// heartbeat that it missed: then it was not dead but cut off from the platform.
+func (c *Core) outlived(now ids.Time, t *target) bool {
+	return t.lastLife != 0 && now.Sub(t.lastLife) < heartbeatsMissed*c.settings.Heartbeat
+}
+
 // Replace records a complete list of targets. Those that are not in it are
 // removed.
 func (c *Core) Replace(now ids.Time, list []TargetRecord) {
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -30,7 +30,7 @@
 	// missingSince is when the record disappeared after the platform had been
 	// away; zero while the record is there.
 	missingSince ids.Time
-	ended        bool // its record disappeared while the platform was up
+	ended        bool // its record disappeared, and nothing shows that it lives on
 	replaced     bool // a check found another target at its address
 	checkedAt    ids.Time
 	outUntil     ids.Time // until then it counts as out of reach
@@ -65,11 +65,6 @@
 	return !t.shadowed && !t.replaced && (s == chart.BackendStarting || s == chart.BackendServing)
 }
 
-// recentLife is the time since the last sign of life within which a target is
-// not taken for dead although its record has lapsed: three heartbeats. It may
-// merely be cut off from the platform.
-const recentLife = 2300 * time.Millisecond
-
 // unanswerable reports whether p, a packet of one of its flows, will not be
 // answered any more, and why, so that the caller is better off with a reset.
 // Where the target is out of reach this is said of requests only: a flow without
@@ -83,7 +78,7 @@
 	case now.Before(t.outUntil):
 		return TargetUnreachable, p.Length > 0
 	}
-	return TargetGone, t.ended && (t.Draining || t.lastLife == 0 || now.Sub(t.lastLife) > recentLife)
+	return TargetGone, t.ended
 }
 
 // targetTable holds the backend servers by cookie and by service.
--- a/internal/passthrough/trust_test.go
+++ b/internal/passthrough/trust_test.go
@@ -73,9 +73,13 @@
 			c.Replace(later, nil)
 		}, Forward},
 		"answering": {func(c *Core, name string) {
+			c.alive(later.Add(-1900*ms), c.targets.byName[name])
 			c.Remove(later, name)
-			c.alive(later.Add(-time.Second), c.targets.byName[name])
 		}, Forward},
+		"crashed between two heartbeats": {func(c *Core, name string) {
+			c.alive(later.Add(-2000*ms), c.targets.byName[name])
+			c.Remove(later, name)
+		}, Reset},
 		"left": {func(c *Core, name string) {
 			c.targets.byName[name].Draining = true
 			c.alive(later.Add(-time.Second), c.targets.byName[name])
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -26,6 +26,7 @@
 	ApplyWithin time.Duration // bound for a publication to be in force
 	Grace       time.Duration // from SIGTERM to the forced end
 	FlowLife    time.Duration // age after which a flow may be forgotten
+	Heartbeat   time.Duration // interval at which backend servers renew their records
 	MemoryBytes int64         // limit of the process; 0 for none
 	// Regions holds the region of each data centre; those that are not in it count
 	// as near.
@@ -48,6 +49,7 @@
 		ApplyWithin: r.duration("passthrough.apply_within", 3*time.Second, 500*time.Millisecond, time.Minute),
 		Grace:       r.duration("passthrough.grace", 6*time.Second, time.Second, time.Hour),
 		FlowLife:    r.duration("passthrough.flow_life", time.Minute, time.Second, 24*time.Hour),
+		Heartbeat:   r.duration("passthrough.heartbeat", time.Second, 10*time.Millisecond, time.Minute),
 		MemoryBytes: r.integer("passthrough.memory_mb", 0, 0, 1<<20) << 20,
 	}
 	p.Advertise = r.addrPort("passthrough.advertise", p.Control)
