--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 	$(GO) test ./internal/core -run '^$$' -bench FeedMemory -benchtime 1x
 	$(GO) test ./internal/daemon -run '^$$' -bench 'AddedLatency|DatagramsPerCore|ServiceSockets' -benchtime 2x
 	$(GO) test ./internal/daemon -run '^$$' -bench 'SocketPath' -benchtime 500ms
+	$(GO) test ./internal/passthrough -run '^$$' -bench . -benchtime 300ms
 
 # Slopes and the figures at the target size. Ends by itself in at most 4 minutes.
 capacity:
