--- a/internal/httpget/httpget.go
+++ b/internal/httpget/httpget.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -20,7 +21,9 @@
 // StatusError is a response with a status other than 200.
 type StatusError struct{ Status int }
 
-func (e *StatusError) Error() string { return "status " + http.StatusText(e.Status) }
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status %d %s", e.Status, http.StatusText(e.Status))
+}
 
 // connectTimeout bounds the opening of a connection. A server behind a
 // partition does not respond at all; one in reach answers in milliseconds.
--- /dev/null
+++ b/internal/httpget/httpget_test.go
@@ -0,0 +1,52 @@
+package httpget
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a response that is too large, late, redirected, of another status
+// or not JSON and is taken for an answer, and against errors that do not name the
+// server.
+func TestGet(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/good":
+			_, _ = io.WriteString(w, `{"n":7}`)
+		case "/large":
+			_, _ = io.WriteString(w, `{"n":7,"pad":"`+strings.Repeat("x", 200)+`"}`)
+		case "/text":
+			_, _ = io.WriteString(w, "hello")
+		case "/moved":
+			http.Redirect(w, r, "/good", http.StatusFound)
+		case "/slow":
+			<-r.Context().Done()
+		default:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	defer s.Close()
+	c := New(s.URL, 100)
+	get := func(path string) error {
+		var body struct{ N int }
+		err := c.Get(context.Background(), path, 100*time.Millisecond, &body)
+		assert.Assert(t, err != nil || body.N == 7)
+		return err
+	}
+	assert.NilError(t, get("/good"))
+	assert.ErrorIs(t, get("/large"), ErrTooLarge)
+	var status *StatusError
+	assert.Assert(t, errors.As(get("/down"), &status) && status.Status == http.StatusServiceUnavailable)
+	assert.Assert(t, errors.As(get("/moved"), &status) && status.Status == http.StatusFound)
+	assert.ErrorContains(t, get("/down"), "read from "+s.URL+": status 503")
+	assert.ErrorContains(t, get("/text"), "decode body from "+s.URL)
+	assert.ErrorIs(t, get("/slow"), context.DeadlineExceeded)
+}
