settings, names: terms of the field; a template that is valid without seeds

The template renders the seeds as a list of any length, and bounds of other deployments (100 ms to 10 min, fractions of a megabyte) are accepted.

--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -388,7 +388,7 @@
 	assert.DeepEqual(t, got, u)
 }
 
-// Found by a sweep to 300 machines: after a common start every instance asked all
+// Found by a sweep to 300 instances: after a common start every instance asked all
 // seeds for everything, 2.2 MB/s at each. Guards against an instance that sends
 // its state to those who asked before it had one, and against several that are
 // asked for everything while the first answers.
--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -11,14 +11,14 @@
 )
 
 const (
-	// checkWorkers is the number of concurrent liveness checks.
+	// checkWorkers is the number of concurrent health checks.
 	checkWorkers = 4
-	// checkTimeout bounds a liveness check. A backend server answers in about
+	// checkTimeout bounds a health check. A backend server answers in about
 	// 1 ms, behind a full queue in about 150 ms.
 	checkTimeout = 300 * time.Millisecond
 )
 
-// checker carries out the liveness checks that the core asks for.
+// checker carries out the health checks that the core asks for.
 type checker struct {
 	pool pond.Pool
 }
@@ -31,7 +31,7 @@
 func (f *Forwarder) check(ctx context.Context, k passthrough.Check) {
 	began := f.clock.now()
 	_, ok := f.checker.pool.TrySubmit(func() {
-		result := platform.CheckLiveness(ctx, k, checkTimeout)
+		result := platform.CheckHealth(ctx, k, checkTimeout)
 		f.metrics.checks.WithLabelValues(result.String()).Inc()
 		f.run(ctx, func() { f.core.Checked(f.clock.now(), k, began, result) })
 	})
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -49,21 +49,21 @@
 
 // Forwarder is one pass-through instance.
 type Forwarder struct {
-	settings *settings.Passthrough
-	log      *slog.Logger
-	out      *telemetry.Writer
-	conn     *net.UDPConn
-	core     *passthrough.Core
-	commands *ring.Ring[func()] // run by the forwarding goroutine
-	state    *fanout.State
-	checker  *checker
-	peers    *fanout.Source     // nil without an interface between instances
-	leave    context.CancelFunc // ends the announcements at the seeds
-	clock    clock
-	metrics  *metrics
-	tracer   *telemetry.Tracer
-	placed   limiter // lines about ordinary placements
-	departed limiter // lines about other decisions
+	settings   *settings.Passthrough
+	log        *slog.Logger
+	out        *telemetry.Writer
+	conn       *net.UDPConn
+	core       *passthrough.Core
+	commands   *ring.Ring[func()] // run by the forwarding goroutine
+	state      *fanout.State
+	checker    *checker
+	peers      *fanout.Source     // nil without an interface between instances
+	leave      context.CancelFunc // ends the announcements at the seeds
+	clock      clock
+	metrics    *metrics
+	tracer     *telemetry.Tracer
+	placements limiter // lines about ordinary placements
+	exceptions limiter // lines about all other decisions
 
 	updatedAt  ids.Time // of the last update; used by the forwarding goroutine
 	level      *slog.LevelVar
@@ -100,20 +100,20 @@
 	level := new(slog.LevelVar)
 	level.Set(s.Log.Level)
 	f := &Forwarder{
-		settings: s,
-		level:    level,
-		tracer:   tracer,
-		reload:   make(chan struct{}, 1),
-		log:      telemetry.NewLogger(out, level, s.Instance),
-		out:      out,
-		conn:     conn,
-		commands: ring.New[func()](commandRing),
-		state:    fanout.NewState(),
-		clock:    clock{time.Now()},
-		placed:   limiter{rate: placedLines},
-		departed: limiter{rate: departedLines},
-		leave:    func() {},
-		stop:     make(chan struct{}),
+		settings:   s,
+		level:      level,
+		tracer:     tracer,
+		reload:     make(chan struct{}, 1),
+		log:        telemetry.NewLogger(out, level, s.Instance),
+		out:        out,
+		conn:       conn,
+		commands:   ring.New[func()](commandRing),
+		state:      fanout.NewState(),
+		clock:      clock{time.Now()},
+		placements: limiter{rate: placementLines},
+		exceptions: limiter{rate: exceptionLines},
+		leave:      func() {},
+		stop:       make(chan struct{}),
 	}
 	// A kernel that grants a smaller buffer is no fault.
 	_ = conn.SetReadBuffer(socketBuffer)
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -37,7 +37,7 @@
 	done  chan error
 }
 
-// fleet is a small installation on the loopback interface.
+// fleet is a small deployment on the loopback interface.
 type fleet struct {
 	t         *testing.T
 	store     *platformtest.Store
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -49,7 +49,7 @@
 		m.packets[r] = packets.WithLabelValues(r.String())
 	}
 	m.calls = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "arbutusdock_news_total", Help: "Reads of what is published, by source and result."}, []string{"source", "result"})
-	m.checks = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "arbutusdock_checks_total", Help: "Liveness checks of suspected targets by result."}, []string{"result"})
+	m.checks = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "arbutusdock_checks_total", Help: "Health checks of suspected targets by result."}, []string{"result"})
 	m.registry.MustRegister(m.calls, m.checks)
 	m.forwarding = histogram("forwarding_seconds", "Time from reading a packet to having sent it.", 1e-6, 16)
 	m.answered = histogram("opening_seconds", "Time from an opening packet to the caller's next packet.", 1e-3, 12)
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -8,12 +8,12 @@
 )
 
 const (
-	// placedLines is the number of lines a second about ordinary placements. A
+	// placementLines is the number of lines a second about ordinary placements. A
 	// line costs about 5 us; at this rate logging takes 0.01% of a core.
-	placedLines = 20
-	// departedLines is the number of lines a second about decisions that depart
+	placementLines = 20
+	// exceptionLines is the number of lines a second about decisions that depart
 	// from the ordinary.
-	departedLines = 100
+	exceptionLines = 100
 )
 
 // limiter admits a number of lines a second and counts those left out.
@@ -44,10 +44,10 @@
 // packet. Of flows that are known here only packets are logged whose data the
 // caller repeats.
 func (f *Forwarder) logDecision(now ids.Time, p *passthrough.Packet, d *passthrough.Decision) {
-	l := &f.departed
+	l := &f.exceptions
 	switch {
 	case d.Reason == passthrough.Placed:
-		l = &f.placed
+		l = &f.placements
 	case d.Reason == passthrough.Known && !d.Adopted && d.Stalled == 0:
 		return
 	}
--- a/internal/passthrough/config.go
+++ b/internal/passthrough/config.go
@@ -33,7 +33,7 @@
 	Version     uint64
 	Routes      []Route
 	IdleTimeout time.Duration // a flow that is idle for longer may be forgotten
-	// Health holds the path of the liveness check of each service.
+	// Health holds the path of the health check of each service.
 	Health map[ids.Service]string
 }
 
--- a/internal/passthrough/event.go
+++ b/internal/passthrough/event.go
@@ -16,7 +16,7 @@
 	TargetLapsed                     // the record is missing after an outage of the platform
 	TargetSuspected                  // a target gets no new flows for a while
 	TargetTrusted                    // a suspected target has shown that it is alive
-	TargetChecked                    // a liveness check found it gone or out of reach
+	TargetChecked                    // a health check found it gone or out of reach
 )
 
 var eventNames = [...]string{"config-applied", "target-changed", "target-lapsed", "target-suspected", "target-trusted", "target-checked"}
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -29,12 +29,12 @@
 	coldUntil ids.Time
 	// missingSince is when the record disappeared after the platform had been
 	// away; zero while the record is there.
-	missingSince ids.Time
-	ended        bool // its record disappeared, and nothing shows that it lives on
-	replaced     bool // a check found another target at its address
-	checkedAt    ids.Time
-	outUntil     ids.Time // until then it counts as out of reach
-	repeats      int      // packets with data repeated to it since the last sign of life
+	missingSince     ids.Time
+	ended            bool // its record disappeared, and nothing shows that it lives on
+	replaced         bool // a check found another target at its address
+	checkedAt        ids.Time
+	unreachableUntil ids.Time // until then it counts as out of reach
+	repeats          int      // packets with data repeated to it since the last sign of life
 	// retryAt is when a suspected target may get a flow again.
 	retryAt  ids.Time
 	retries  int // since the last sign of life
@@ -75,7 +75,7 @@
 		return Known, false
 	case t.replaced:
 		return TargetGone, true
-	case now.Before(t.outUntil):
+	case now.Before(t.unreachableUntil):
 		return TargetUnreachable, p.Length > 0
 	}
 	return TargetGone, t.ended
@@ -134,7 +134,7 @@
 	}
 	t.TargetRecord = *r
 	if changed {
-		t.replaced, t.outUntil = false, 0 // it has written since
+		t.replaced, t.unreachableUntil = false, 0 // it has written since
 	}
 	t.missingSince, t.ended = 0, false
 	t.coldUntil = now.Add(r.Cold)
--- a/internal/passthrough/trust.go
+++ b/internal/passthrough/trust.go
@@ -82,10 +82,10 @@
 	c.note(Event{Kind: TargetSuspected, Target: t.Name, Service: t.Service, Reason: reason, Age: now.Sub(sent)})
 }
 
-// requestCheck asks for a liveness check of t, at most one each checkLife.
+// requestCheck asks for a health check of t, at most one each checkTTL.
 func (c *Core) requestCheck(now ids.Time, t *target) {
 	path := c.routes.health[t.Service]
-	if path == "" || len(c.checks) == MaxChecks || (t.checkedAt != 0 && now.Sub(t.checkedAt) < checkLife) {
+	if path == "" || len(c.checks) == MaxChecks || (t.checkedAt != 0 && now.Sub(t.checkedAt) < checkTTL) {
 		return
 	}
 	t.checkedAt = now
@@ -119,17 +119,17 @@
 	c.lastLife = now
 	t.lastLife = now
 	t.retries, t.repeats = 0, 0
-	t.outUntil = 0
+	t.unreachableUntil = 0
 	if t.trust.State() == chart.Suspected {
 		t.trust.Fire(chart.SuspicionRefute)
 		c.note(Event{Kind: TargetTrusted, Target: t.Name, Service: t.Service})
 	}
 }
 
-// MaxChecks bounds the liveness checks that wait to be carried out.
+// MaxChecks bounds the health checks that wait to be carried out.
 const MaxChecks = 64
 
-// Check is a liveness check of a suspected target that the caller of the core
+// Check is a health check of a suspected target that the caller of the core
 // is to carry out.
 type Check struct {
 	Target  string
@@ -143,7 +143,7 @@
 	ReferencePath string
 }
 
-// Checks calls f with each liveness check that is due since the last call.
+// Checks calls f with each health check that is due since the last call.
 func (c *Core) Checks(f func(Check)) {
 	for _, k := range c.checks {
 		f(k)
@@ -151,15 +151,15 @@
 	c.checks = c.checks[:0]
 }
 
-// checkLife is the time for which a check that found a target out of reach
+// checkTTL is the time for which a check that found a target out of reach
 // holds. A partition that refuses connections looks like a target that has
 // ended, so that the flows of a live target are spared soon after it is healed.
-const checkLife = time.Second
+const checkTTL = time.Second
 
-// CheckResult is the outcome of a liveness check.
+// CheckResult is the outcome of a health check.
 type CheckResult uint8
 
-// Outcomes of a liveness check. What a target says of its health is not used:
+// Outcomes of a health check. What a target says of its health is not used:
 // it may be wrong either way, and what callers see counts more.
 const (
 	CheckAnswered     CheckResult = iota // the target has answered, whatever it said
@@ -185,7 +185,7 @@
 		t.replaced = true
 		c.targets.list(t)
 	case result == CheckUnreachable && c.lastLife > began:
-		t.outUntil = now.Add(checkLife)
+		t.unreachableUntil = now.Add(checkTTL)
 	default:
 		return
 	}
--- a/internal/passthrough/trust_test.go
+++ b/internal/passthrough/trust_test.go
@@ -170,7 +170,7 @@
 	}
 }
 
-// Guards against a check that holds for longer than checkLife, and against a
+// Guards against a check that holds for longer than checkTTL, and against a
 // target that is not checked again.
 func TestCheckExpires(t *testing.T) {
 	c := testCore()
@@ -191,9 +191,9 @@
 	now = now.Add(time.Second)
 	c.alive(now, c.targets.byName["slips-3"])
 	c.Checked(now, checks[0], now.Add(-ms), CheckUnreachable)
-	assert.Equal(t, c.Packet(now.Add(checkLife-ms), p).Verdict, Reset)
-	assert.Equal(t, c.Packet(now.Add(checkLife), p).Verdict, Forward, "the partition may be healed")
-	now = now.Add(checkLife)
+	assert.Equal(t, c.Packet(now.Add(checkTTL-ms), p).Verdict, Reset)
+	assert.Equal(t, c.Packet(now.Add(checkTTL), p).Verdict, Forward, "the partition may be healed")
+	now = now.Add(checkTTL)
 	again := fail()
 	assert.Equal(t, len(again), 1, "it is checked again while it does not answer")
 	assert.Equal(t, again[0].Reference, c.targets.byName["slips-3"].Address)
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -46,11 +46,11 @@
 		Platform:    r.addrPort(r.need("passthrough.platform"), netip.AddrPort{}),
 		Control:     r.addrPort("passthrough.control", netip.AddrPort{}),
 		Seeds:       r.addrPorts("passthrough.seeds"),
-		ApplyWithin: r.duration("passthrough.apply_within", 3*time.Second, 500*time.Millisecond, time.Minute),
+		ApplyWithin: r.duration("passthrough.apply_within", 3*time.Second, 100*time.Millisecond, 10*time.Minute),
 		Grace:       r.duration("passthrough.grace", 6*time.Second, time.Second, time.Hour),
 		FlowLife:    r.duration("passthrough.flow_life", time.Minute, time.Second, 24*time.Hour),
 		Heartbeat:   r.duration("passthrough.heartbeat", time.Second, 10*time.Millisecond, time.Minute),
-		MemoryBytes: r.integer("passthrough.memory_mb", 0, 0, 1<<20) << 20,
+		MemoryBytes: int64(r.float("passthrough.memory_mb", 0, 0, 1<<20) * (1 << 20)),
 	}
 	p.Advertise = r.addrPort("passthrough.advertise", p.Control)
 	p.Regions = r.texts("regions")
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -89,7 +89,7 @@
 	assert.NilError(t, err)
 	text := strings.Replace(string(template), `{{@}} = {{.|json}}`, `a = "south"`, 1)
 	text = regexp.MustCompile(`\{\{[#/][^}]*\}\}`).ReplaceAllString(text, "")
-	text = strings.NewReplacer(`{{node|json}}`, `"edge-1"`, `{{zone|json}}`, `"a"`, `{{ip}}`, "10.1.0.10", `{{seeds|json}}`, `["10.1.0.10:8166"]`,
+	text = strings.NewReplacer(`{{node|json}}`, `"edge-1"`, `{{zone|json}}`, `"a"`, `{{ip}}`, "10.1.0.10", `{{.|json}}`, `"10.1.0.10:8166"`, `{{,}}`, "",
 		`{{limits.memory-mb}}`, "414").Replace(text)
 	text = regexp.MustCompile(`\{\{[a-z.-]*\|json\}\}`).ReplaceAllString(text, `"10.1.0.10:81"`)
 	text = regexp.MustCompile(`\{\{[a-z.-]*-ms\}\}`).ReplaceAllString(text, "3000")
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -163,8 +163,8 @@
 		defer flow.Close()
 	}
 	s.mu.Lock()
-	next, superseded := s.confirmed[version+1]
-	confirmed := s.confirmed[version]
+	next, superseded := s.acknowledged[version+1]
+	acknowledged := s.acknowledged[version]
 	current := s.version == version
 	s.mu.Unlock()
 	switch {
@@ -173,8 +173,8 @@
 		if superseded && began.Sub(next) > applyWithin && s.calm(via) {
 			s.violation("%s has version %d in force %s after version %d", via.id, version, began.Sub(next), version+1)
 		}
-	case errors.Is(err, platformtest.ErrReset) && current && !confirmed.IsZero() && began.Sub(confirmed) > applyWithin && s.undisturbed():
-		s.violation("a route of version %d was refused %s after its confirmation", version, began.Sub(confirmed))
+	case errors.Is(err, platformtest.ErrReset) && current && !acknowledged.IsZero() && began.Sub(acknowledged) > applyWithin && s.undisturbed():
+		s.violation("a route of version %d was refused %s after its acknowledgement", version, began.Sub(acknowledged))
 	}
 }
 
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -21,7 +21,7 @@
 	"arbutusdock.example/arbutusdock/platform/platformtest"
 )
 
-// Bounds that the installation states to its instances, and that the checks use.
+// Bounds that the deployment states to its instances, and that the checks use.
 const (
 	applyWithin = 3 * time.Second // for a change to be in force
 	contact     = 4 * time.Second // after a disturbance until bounds hold again
@@ -87,7 +87,7 @@
 	run       int // start in which it was seen
 }
 
-// fleet is an installation with two data centres.
+// fleet is a deployment with two data centres.
 type fleet struct {
 	t      *testing.T
 	dir    string
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -68,15 +68,15 @@
 	end     time.Time     // of the load
 	callers map[string]*platformtest.Caller
 
-	mu        sync.Mutex
-	servers   map[string]*server // by ID
-	number    uint32
-	version   int
-	confirmed map[int]time.Time // by version
-	served    map[string]int
-	resets    int // of open flows
-	silent    int // requests on open flows without an answer in time
-	failures  []string
+	mu           sync.Mutex
+	servers      map[string]*server // by ID
+	number       uint32
+	version      int
+	acknowledged map[int]time.Time // by version
+	served       map[string]int
+	resets       int // of open flows
+	silent       int // requests on open flows without an answer in time
+	failures     []string
 }
 
 // far is later than the end of any run.
@@ -172,7 +172,7 @@
 // newSoak starts a fleet with its servers and callers.
 func newSoak(t *testing.T, seed uint64, instances int, budget time.Duration) *soak {
 	s := &soak{fleet: newFleet(t, seed, instances), seed: seed, budget: budget, rng: rand.New(rand.NewPCG(seed, 1)), callers: map[string]*platformtest.Caller{},
-		servers: map[string]*server{}, number: uint32(seed) << 8, confirmed: map[int]time.Time{}, served: map[string]int{}}
+		servers: map[string]*server{}, number: uint32(seed) << 8, acknowledged: map[int]time.Time{}, served: map[string]int{}}
 	for _, sv := range services {
 		for n := range 4 {
 			s.addServer(sv.name, []string{"a", "b"}[n%2])
@@ -245,7 +245,7 @@
 	return sv
 }
 
-// publish confirms the next version of the configuration.
+// publish writes the next version of the configuration.
 func (s *soak) publish() {
 	s.mu.Lock()
 	s.version++
@@ -259,7 +259,7 @@
 	routes = append(routes, platformtest.Route{IP: at.Addr().String(), Port: int(at.Port()), Service: "slips", Kind: "safe"})
 	s.store.PutConfig(version, routes...)
 	s.mu.Lock()
-	s.confirmed[version] = time.Now()
+	s.acknowledged[version] = time.Now()
 	s.mu.Unlock()
 }
 
@@ -413,7 +413,7 @@
 
 // drain announces that a server leaves, and starts another one before.
 func (s *soak) drain(sv *server) {
-	s.addServer(sv.Service, sv.Zone)
+	s.addServer(sv.Service, sv.DataCentre)
 	s.store.PutTarget(sv.Target, "draining")
 	sv.Drain()
 	s.mu.Lock()
@@ -438,7 +438,7 @@
 		return
 	}
 	sv.Close()
-	s.addServer(sv.Service, sv.Zone)
+	s.addServer(sv.Service, sv.DataCentre)
 	time.Sleep(2300 * time.Millisecond) // three heartbeats
 	s.store.DeleteTarget(sv.Target)
 	s.mu.Lock()
