--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -236,7 +236,7 @@
 	target, err := platformtest.NewTarget(number, name, dc, datagramPort)
 	assert.NilError(s.t, err)
 	s.t.Cleanup(target.Close)
-	target.Delay = 2 * time.Millisecond
+	target.SetDelay(2 * time.Millisecond)
 	sv := &server{Target: target}
 	s.mu.Lock()
 	s.servers[target.ID] = sv
