passthrough: an answer acknowledged with the end of a flow is a sign of life

From reading the code: a FIN released the flow before its acknowledgement was looked at, so that the requests of short flows were missing from request_seconds and their targets lacked a sign of life.

--- a/internal/passthrough/core.go
+++ b/internal/passthrough/core.go
@@ -237,11 +237,7 @@
 		d.Answered = now.Sub(f.forwarded)
 		c.alive(now, t)
 	}
-	if p.Flags.Has(RST) || p.Flags.Has(FIN) {
-		c.release(f)
-		return
-	}
-	if progress := int32(p.Ack - f.ack); progress > 0 {
+	if progress := int32(p.Ack - f.ack); progress > 0 && !p.Flags.Has(RST) {
 		f.ack = p.Ack
 		if f.busy {
 			d.Served = now.Sub(f.requested)
@@ -249,6 +245,10 @@
 		c.alive(now, t)
 		c.finish(f, t)
 	}
+	if p.Flags.Has(RST) || p.Flags.Has(FIN) {
+		c.release(f)
+		return
+	}
 	if p.Length > 0 {
 		c.data(now, p, f, t, d)
 	}
--- a/internal/passthrough/trust_test.go
+++ b/internal/passthrough/trust_test.go
@@ -216,3 +216,18 @@
 	}
 	assert.Assert(t, !c.targets.byName[d.Target].suspected(origin.Add(30*ms)))
 }
+
+// Guards against a sign of life that is missed since it comes with the end of the
+// flow: the caller of a single request often acknowledges its answer only there.
+func TestEndOfFlowIsSignOfLife(t *testing.T) {
+	c := testCore()
+	f := flowOf(1, counterAt)
+	d := open(t, c, origin, f)
+	target := c.targets.byName[d.Target]
+	c.failed(origin.Add(20*ms), target, origin.Add(15*ms), "test")
+	assert.Assert(t, target.suspected(origin.Add(30*ms)))
+	got := c.Packet(origin.Add(40*ms), &Packet{Flow: f, Flags: FIN | ACK, Cookie: d.Cookie, Seq: 151, Ack: 900})
+	assert.Equal(t, got.Served, 30*ms)
+	assert.Assert(t, !target.suspected(origin.Add(40*ms)))
+	assert.Equal(t, target.flows, 0)
+}
