--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -23,6 +23,7 @@
 	"arbutusdock.example/arbutusdock/internal/follow"
 	"arbutusdock.example/arbutusdock/internal/ids"
 	"arbutusdock.example/arbutusdock/internal/passthrough"
+	"arbutusdock.example/arbutusdock/internal/syncbuf"
 )
 
 // A fixed seed keeps the normal run repeatable; -rapid.seed overrides it.
@@ -212,6 +213,18 @@
 	}
 }
 
+// Guards against seeds that are lost or back without a line, and against a line for
+// each failed call.
+func TestSeedsLost(t *testing.T) {
+	var log syncbuf.Buffer
+	s := NewSource(&platformStub{}, Config{Log: slog.New(slog.NewTextHandler(&log, nil)), Version: noVersion})
+	for _, answered := range []bool{true, false, false, true, true} {
+		s.noteSeeds(answered)
+	}
+	assert.Equal(t, strings.Count(log.String(), "\n"), 2, log.String())
+	assert.Assert(t, strings.Contains(log.String(), "msg=seeds-lost") && strings.Contains(log.String(), "msg=seeds-regained"))
+}
+
 // platformStub counts the reads of the platform.
 type platformStub struct {
 	reads    atomic.Int64
@@ -349,10 +362,11 @@
 // Guards against instances that never learn the ranking from a seed, or that
 // stay in it after a planned stop.
 func TestAnnounce(t *testing.T) {
+	var log syncbuf.Buffer
 	p := &platformStub{}
 	seed, n := newNode(t, "s", p), newNode(t, "n", p)
-	n.source = NewSource(p, Config{DataCentre: "dc", Self: Instance{"n", n.address()}, MaxAge: time.Second, Log: quiet, Version: noVersion,
-		Seeds: []string{"127.0.0.1:1", seed.address().String()}})
+	n.source = NewSource(p, Config{DataCentre: "dc", Self: Instance{"n", n.address()}, MaxAge: time.Second,
+		Log: slog.New(slog.NewTextHandler(&log, nil)), Version: noVersion, Seeds: []string{"127.0.0.1:1", seed.address().String()}})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { n.source.Announce(ctx); close(done) }()
@@ -365,6 +379,7 @@
 	assert.Equal(t, seed.dir.Ranking(time.Now(), "dc", "n").Live, 1)
 	cancel()
 	<-done
+	assert.Assert(t, !strings.Contains(log.String(), "seeds-lost"), "one of them answers")
 	assert.Equal(t, seed.dir.Ranking(time.Now(), "dc", "n").Live, 0)
 }
 
--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -81,6 +81,8 @@
 	clients map[ids.Instance]*client
 	failed  map[ids.Instance]time.Time
 
+	seedsLost bool // used by Announce only
+
 	current atomic.Value // string: source of the last update
 }
 
@@ -127,10 +129,14 @@
 // announce asks all seeds at once and takes the first answer, so that seeds
 // that are down cost no time.
 func (s *Source) announce(ctx context.Context, leaving bool) {
+	if len(s.seeds) == 0 {
+		return
+	}
 	a := announcement{s.config.DataCentre, s.config.Self, leaving}
 	path := instancesPath + "?" + a.query()
 	var calls sync.WaitGroup
 	var first sync.Once
+	var answered atomic.Bool
 	for _, seed := range s.seeds {
 		calls.Go(func() {
 			var ranking Ranking
@@ -138,10 +144,23 @@
 				s.config.Log.Debug("seed-unreachable", "seed", seed.Base(), "error", err)
 				return
 			}
+			answered.Store(true)
 			first.Do(func() { s.rank(ranking) })
 		})
 	}
 	calls.Wait()
+	s.noteSeeds(answered.Load())
+}
+
+// noteSeeds logs when the seeds are lost or answer again.
+func (s *Source) noteSeeds(answered bool) {
+	switch {
+	case answered && s.seedsLost:
+		s.config.Log.Info("seeds-regained")
+	case !answered && !s.seedsLost:
+		s.config.Log.Warn("seeds-lost", "seeds", strings.Join(s.config.Seeds, ","))
+	}
+	s.seedsLost = !answered
 }
 
 func (s *Source) rank(ranking Ranking) {
--- a/internal/forwarder/admin.go
+++ b/internal/forwarder/admin.go
@@ -34,7 +34,14 @@
 		return nil
 	}
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(f.metrics.registry, promhttp.HandlerOpts{}))
+	page := promhttp.HandlerFor(f.metrics.registry, promhttp.HandlerOpts{})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
+		var s State
+		if f.snapshot(r.Context(), &s) { // without it the page shows the last values
+			f.metrics.show(&s.Snapshot, s.NewsAge)
+		}
+		page.ServeHTTP(w, r)
+	})
 	mux.HandleFunc("GET /v1/state", f.serveState)
 	mux.HandleFunc("GET /v1/explain", f.serveExplain)
 	server, err := f.serveHTTP("metrics", f.settings.Metrics, mux)
@@ -61,12 +68,20 @@
 	}
 }
 
+// snapshot fills in what the core believes. It reports false when the forwarding
+// goroutine did not respond in time.
+func (f *Forwarder) snapshot(ctx context.Context, s *State) bool {
+	var got State
+	ok := f.ask(ctx, func(now ids.Time) { got = State{NewsAge: now.Sub(f.updatedAt), Snapshot: f.core.Snapshot(now)} })
+	if ok {
+		s.NewsAge, s.Snapshot = got.NewsAge, got.Snapshot
+	}
+	return ok
+}
+
 func (f *Forwarder) serveState(w http.ResponseWriter, r *http.Request) {
 	s := State{Instance: f.settings.Instance, DataCentre: f.settings.DataCentre, Serving: f.serving(), Source: f.sourceName()}
-	if !f.ask(r.Context(), func(now ids.Time) {
-		s.NewsAge = now.Sub(f.updatedAt)
-		s.Snapshot = f.core.Snapshot(now)
-	}) {
+	if !f.snapshot(r.Context(), &s) {
 		http.Error(w, "the instance did not respond in time", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -306,7 +306,8 @@
 	}
 	page := get("/metrics")
 	for _, want := range []string{`arbutusdock_packets_total{reason="placed"} 1`, "arbutusdock_opening_seconds_count 1",
-		"arbutusdock_request_seconds_count 1", "arbutusdock_ready 1", `arbutusdock_news_total{result="ok",source="platform"}`} {
+		"arbutusdock_request_seconds_count 1", "arbutusdock_ready 1", "arbutusdock_config_version 1",
+		`arbutusdock_targets{state="starting"} `, "arbutusdock_flows 0", `arbutusdock_news_total{result="ok",source="platform"}`} {
 		assert.Assert(t, strings.Contains(page, want), "%s missing in\n%s", want, page)
 	}
 	var s State
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -18,6 +18,8 @@
 	adopted, stalled                   prometheus.Counter
 	forwarding, answered, served       prometheus.Histogram
 	calls, checks                      *prometheus.CounterVec
+	version, newsAge, flows, flowBytes prometheus.Gauge
+	targets                            *prometheus.GaugeVec
 }
 
 func newMetrics(f *Forwarder) *metrics {
@@ -54,6 +56,17 @@
 	m.forwarding = histogram("forwarding_seconds", "Time from reading a packet to having sent it.", 1e-6, 16)
 	m.answered = histogram("opening_seconds", "Time from an opening packet to the caller's next packet.", 1e-3, 12)
 	m.served = histogram("request_seconds", "Time from a request to the first acknowledged byte of its answer.", 1e-3, 14)
+	set := func(name, help string) prometheus.Gauge {
+		g := prometheus.NewGauge(prometheus.GaugeOpts{Name: "arbutusdock_" + name, Help: help})
+		m.registry.MustRegister(g)
+		return g
+	}
+	m.version = set("config_version", "Version of the configuration in force, 0 for none.")
+	m.newsAge = set("news_age_seconds", "Time since what is published was last known to be complete.")
+	m.flows = set("flows", "Flows remembered.")
+	m.flowBytes = set("flows_bytes", "Memory of the flows remembered.")
+	m.targets = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "arbutusdock_targets", Help: "Targets by lifecycle; suspected ones count once more."}, []string{"state"})
+	m.registry.MustRegister(m.targets)
 	gauge("ready", "1 while the instance is in rotation.", func() float64 {
 		if f.serving() {
 			return 1
@@ -102,3 +115,18 @@
 	}
 	m.calls.WithLabelValues(source, result).Inc()
 }
+
+// show sets the gauges of what the core believes.
+func (m *metrics) show(s *passthrough.Snapshot, newsAge time.Duration) {
+	m.version.Set(float64(s.Version))
+	m.newsAge.Set(newsAge.Seconds())
+	m.flows.Set(float64(s.Flows))
+	m.flowBytes.Set(float64(s.Flows * passthrough.FlowBytes))
+	m.targets.Reset()
+	for i := range s.Targets {
+		m.targets.WithLabelValues(s.Targets[i].Lifecycle).Inc()
+		if s.Targets[i].Suspected {
+			m.targets.WithLabelValues("suspected").Inc()
+		}
+	}
+}
