--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -9,7 +9,7 @@
 
 const (
 	// placementLines is the number of lines a second about ordinary placements. A
-	// line costs about 5 us; at this rate logging takes 0.01% of a core.
+	// line costs about 11 us (BenchmarkLogDecision), 0.02% of a core at this rate.
 	placementLines = 20
 	// exceptionLines is the number of lines a second about decisions that depart
 	// from the ordinary.
