--- a/cmd/arbutusdockd/main.go
+++ b/cmd/arbutusdockd/main.go
@@ -34,7 +34,7 @@
 )
 
 type arguments struct {
-	Settings string `arg:"positional,required" help:"settings file (TOML), see docs/examples/arbutusdockd.toml" placeholder:"SETTINGS"`
+	Settings string `arg:"positional,required" help:"settings file (TOML), see docs/examples" placeholder:"SETTINGS"`
 }
 
 func (arguments) Description() string {
