--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -11,7 +11,7 @@
 	// placementLines is the number of lines a second about ordinary placements. A
 	// line costs about 11 us (BenchmarkLogDecision) and a system call; 20 a second
 	// took logging to 8 to 12% of the processor time on small deployments.
-	placementLines = 4
+	placementLines = 2
 	// exceptionLines is the number of lines a second about decisions that depart
 	// from the ordinary.
 	exceptionLines = 100
