--- a/internal/passthrough/choose.go
+++ b/internal/passthrough/choose.go
@@ -108,7 +108,7 @@
 
 // draw returns a number from 0 to n-1, or 0 when n is 0.
 func (c *Core) draw(n int) int {
-	c.random = mix(c.random, 1)
+	c.random = ids.Mix(c.random, 1)
 	if n == 0 {
 		return 0
 	}
--- a/internal/passthrough/packet.go
+++ b/internal/passthrough/packet.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"net/netip"
+
+	"arbutusdock.example/arbutusdock/internal/ids"
 )
 
 // Endpoint is an IPv4 address and port. It is smaller than netip.AddrPort
@@ -38,7 +40,7 @@
 func (k FlowKey) Hash() uint64 {
 	caller := uint64(binary.BigEndian.Uint32(k.Caller.IP[:]))<<16 | uint64(k.Caller.Port)
 	service := uint64(binary.BigEndian.Uint32(k.Service.IP[:]))<<16 | uint64(k.Service.Port)
-	return mix(caller, service)
+	return ids.Mix(caller, service)
 }
 
 // Flags of a packet.
