--- a/internal/standin/fabric/fabric.go
+++ b/internal/standin/fabric/fabric.go
@@ -45,9 +45,11 @@
 	live   map[string][]platform.Instance // by data centre
 	byIP   map[netip.Addr]platform.Instance
 	faults Faults
-	counts Counts
-	rng    *rand.Rand
-	routes map[routeKey]*route
+	// breaking is closed, and replaced, when links between data centres are broken.
+	breaking chan struct{}
+	counts   Counts
+	rng      *rand.Rand
+	routes   map[routeKey]*route
 }
 
 // routeKey identifies a caller at a public address.
@@ -72,12 +74,13 @@
 		opt.Logger = slog.Default()
 	}
 	return &Fabric{
-		opt:    opt,
-		live:   map[string][]platform.Instance{},
-		byIP:   map[netip.Addr]platform.Instance{},
-		counts: Counts{Instances: map[string]int{}},
-		rng:    rand.New(rand.NewPCG(opt.Seed, opt.Seed)),
-		routes: map[routeKey]*route{},
+		opt:      opt,
+		live:     map[string][]platform.Instance{},
+		byIP:     map[netip.Addr]platform.Instance{},
+		counts:   Counts{Instances: map[string]int{}},
+		breaking: make(chan struct{}),
+		rng:      rand.New(rand.NewPCG(opt.Seed, opt.Seed)),
+		routes:   map[routeKey]*route{},
 	}
 }
 
--- a/internal/standin/fabric/fabric_test.go
+++ b/internal/standin/fabric/fabric_test.go
@@ -107,7 +107,8 @@
 }
 
 // Guards against a split that lets traffic between data centres through, loses
-// bytes when it ends, or stops the links within a data centre.
+// bytes when it ends, or stops the links within a data centre; a cut of one way
+// that cuts the other; and broken links that stay open.
 func TestSplitStopsLinksBetweenDataCentres(t *testing.T) {
 	f := New(Options{})
 	f.byIP[netip.MustParseAddr("127.81.1.1")] = platform.Instance{ID: "a", DataCentre: "dc1"}
@@ -152,4 +153,15 @@
 	assert.Assert(t, returns(far, time.Second), "the byte sent during the split arrives")
 	assert.Assert(t, returns(far, time.Second))
 	assert.Assert(t, time.Since(began) >= 30*time.Millisecond)
+	// One way: dc2 hears and is not heard.
+	f.SetFaults(Faults{MuteDataCentres: []string{"dc2"}})
+	assert.Assert(t, !returns(far, 100*time.Millisecond))
+	f.SetFaults(Faults{})
+	assert.Assert(t, returns(far, time.Second), "the byte echoed meanwhile arrives")
+	f.SetFaults(Faults{BreakLinks: true})
+	_ = far.SetReadDeadline(time.Now().Add(time.Second))
+	_, err = io.Copy(io.Discard, far) // the echoes that were still under way
+	assert.NilError(t, err, "the link has not ended")
+	assert.Assert(t, returns(near, time.Second), "a link within a data centre was broken")
+	assert.Assert(t, returns(dial("127.81.1.1"), time.Second), "a new link does not work")
 }
--- a/internal/standin/fabric/faults.go
+++ b/internal/standin/fabric/faults.go
@@ -25,7 +25,11 @@
 	CutDataCentres []string           `json:"cut_data_centres"`
 	// SplitDataCentres are cut off from all other data centres: their links stop.
 	SplitDataCentres []string `json:"split_data_centres"`
-	BetweenMS        float64  `json:"between_ms"` // one way, on links between data centres
+	// MuteDataCentres send nothing to other data centres, but hear from them.
+	MuteDataCentres []string `json:"mute_data_centres"`
+	// BreakLinks ends the connections that are open between data centres.
+	BreakLinks bool    `json:"break_links"`
+	BetweenMS  float64 `json:"between_ms"` // one way, on links between data centres
 }
 
 func (f *Faults) cuts(in platform.Instance) bool {
@@ -89,6 +93,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.faults = ft
+	if ft.BreakLinks {
+		close(f.breaking)
+		f.breaking = make(chan struct{})
+	}
 }
 
 // Counts returns a copy of the counts.
