core: an instance that has just started ends no feed of another one

Cause: the started instance, which had joined for 4.3 s after a split of its data centre, knew no home for the flow and rejected the refresh of the registration; for the caller that ends the feed (RFC 7641, section 3.2).

While it does not know the others yet it now leaves a registration unanswered, as it already did with admission tokens; the caller's retransmission reaches an instance that knows. Before: TestJoiningInstanceEndsNoFeed fails, one final response in place of none; after: it passes, and internal/proof does.

--- a/internal/core/caller.go
+++ b/internal/core/caller.go
@@ -94,6 +94,12 @@
 	return false
 }
 
+// unsynced reports whether this instance has just started, or resumed, and does
+// not know the others yet.
+func (c *Core) unsynced() bool {
+	return c.view.State() == peerwire.Joining && !c.view.Synced()
+}
+
 func (c *Core) home(s *service, hash uint64) (ids.Instance, bool) {
 	return c.routes.Home(s.name, hash)
 }
@@ -257,7 +263,7 @@
 		c.admit(a, token)
 	default:
 		m, ok := c.view.Lookup(token.Incarnation)
-		if !ok && c.view.State() == peerwire.Joining && !c.view.Synced() {
+		if !ok && c.unsynced() {
 			// The incarnation may run: this instance does not know the others
 			// yet. The caller's retransmission reaches one that does.
 			c.counts.Unsynced++
--- a/internal/core/feed.go
+++ b/internal/core/feed.go
@@ -56,6 +56,10 @@
 		c.place(a)
 	case f != nil:
 		c.refreshFeed(f, a)
+	case c.unsynced():
+		// It may be a refresh: a rejection would end a feed that another instance
+		// has. The caller's retransmission reaches one that knows.
+		c.counts.Unsynced++
 	case !c.accepting() || a.svc.owned() == 0:
 		c.refuse(&a.exchange, false)
 	default:
--- a/internal/core/once_test.go
+++ b/internal/core/once_test.go
@@ -213,6 +213,25 @@
 	}
 }
 
+// Guards against an open feed that is ended by the start of another instance: the
+// refresh of its registration reaches that one, which does not know the others yet.
+// Found by seed 52 of the soak in e2e.
+func TestJoiningInstanceEndsNoFeed(t *testing.T) {
+	w := newWorld(t, 3, resolved("s", 6))
+	home := w.register(0)
+	w.reset()
+	joining := (home + 1) % 3
+	w.add(3, joining, resolved("s", 6), 9)
+	refresh := observe(2)
+	w.send(joining, callerA, refresh)
+	assert.Equal(t, len(w.finals(callerA)), 0)
+	assert.Equal(t, w.cores[joining].counts.Unsynced, uint64(1))
+	w.send((home+2)%3, callerA, refresh) // the retransmission
+	w.advance(50 * time.Millisecond)
+	code(t, w, message.Content)
+	assert.Equal(t, w.cores[home].feeds.Len(), 1)
+}
+
 // Guards against "outcome unknown" for a request that has not run, from an
 // instance that joins and does not know the other instances yet.
 func TestJoiningInstanceDoesNotAnswerForOthers(t *testing.T) {
