--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -61,11 +61,13 @@
 	Callers  int        // callers by service and data centre
 	Duration time.Duration
 	Deadline time.Duration // for an answer, before retransmission is taken into account
-	Refresh  time.Duration // of the registration of a feed
-	Silence  time.Duration // time without a reading after which a feed is silent
-	Burst    float64       // factor of the demand in a burst: 2 s in every 10 s; 0 or 1: steady
-	Zipf     float64       // exponent (above 1) of the demand over resources; 0: uniform
-	Seed     int64
+	// AckTimeout is the transmission parameter ACK_TIMEOUT of CoAP; 0: 500 ms.
+	AckTimeout time.Duration
+	Refresh    time.Duration // of the registration of a feed
+	Silence    time.Duration // time without a reading after which a feed is silent
+	Burst      float64       // factor of the demand in a burst: 2 s in every 10 s; 0 or 1: steady
+	Zipf       float64       // exponent (above 1) of the demand over resources; 0: uniform
+	Seed       int64
 }
 
 // Mix returns the sources of a user at a total of rate requests a second and
@@ -96,8 +98,11 @@
 
 // New opens the connections of all callers.
 func New(ctx context.Context, opt Options) (*Caller, error) {
+	if opt.AckTimeout == 0 {
+		opt.AckTimeout = shortAckTimeout
+	}
 	c := &Caller{opt: opt, stats: newStats(opt.User), conns: map[string][]*conn{}}
-	d := &dialer{tick: periodic.New(ctx.Done(), retransmitTick)}
+	d := &dialer{tick: periodic.New(ctx.Done(), retransmitTick), ackTimeout: opt.AckTimeout}
 	services := map[string]bool{}
 	for _, s := range opt.Sources {
 		services[s.Service] = true
--- a/internal/standin/caller/conn.go
+++ b/internal/standin/caller/conn.go
@@ -19,14 +19,13 @@
 )
 
 const (
-	// ackTimeout and maxRetransmit are the CoAP transmission parameters of the
-	// callers (RFC 7252 section 4.8).
-	ackTimeout    = 500 * time.Millisecond
-	maxRetransmit = 4
-	// transmitSpan is MAX_TRANSMIT_SPAN: from the first transmission to the last.
-	transmitSpan = ackTimeout * (1<<maxRetransmit - 1) * 3 / 2
+	// shortAckTimeout is the transmission parameter of callers for which the
+	// options name none. A quarter of the default of RFC 7252 section 4.8, it lets
+	// a test see several retransmissions.
+	shortAckTimeout = 500 * time.Millisecond
+	maxRetransmit   = 4 // as in RFC 7252 section 4.8
 	// retransmitTick is the interval at which go-coap looks for messages to
-	// retransmit. Its default of 4 s is longer than ackTimeout.
+	// retransmit. Its default of 4 s is longer than the time to the first one.
 	retransmitTick = 50 * time.Millisecond
 	// parallel is the number of requests of one connection at a time; go-coap's
 	// default of 1 would delay a request behind another one of the same caller.
@@ -34,16 +33,20 @@
 	blockSZX = 6 // blocks of 1024 bytes
 )
 
+// transmitSpan is MAX_TRANSMIT_SPAN: from the first transmission to the last.
+func (o *Options) transmitSpan() time.Duration { return o.AckTimeout * (1<<maxRetransmit - 1) * 3 / 2 }
+
 // dialer opens the connections of one caller process.
 type dialer struct {
-	tick periodic.Func
+	tick       periodic.Func
+	ackTimeout time.Duration
 }
 
 func (d *dialer) dial(local netip.Addr, to netip.AddrPort) (*client.Conn, error) {
 	cc, err := udp.Dial(to.String(),
 		options.WithDialer(&net.Dialer{LocalAddr: &net.UDPAddr{IP: local.AsSlice()}}),
 		options.WithPeriodicRunner(d.tick),
-		options.WithTransmission(parallel, ackTimeout, maxRetransmit),
+		options.WithTransmission(parallel, d.ackTimeout, maxRetransmit),
 		options.WithLimitClientParallelRequest(parallel),
 		options.WithLimitClientEndpointParallelRequest(parallel),
 		options.WithBlockwise(false, blockwise.SZX1024, time.Second),
--- a/internal/standin/caller/stats.go
+++ b/internal/standin/caller/stats.go
@@ -51,10 +51,14 @@
 	s.result.Failures = append(s.result.Failures, f)
 }
 
-func (s *stats) refused(id string) {
+func (s *stats) refused(id string, notRun bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.result.Refused = append(s.result.Refused, id)
+	list := &s.result.Deferred
+	if notRun {
+		list = &s.result.Refused
+	}
+	*list = append(*list, id)
 }
 
 func (s *stats) feeds(change func(*wire.Feeds)) {
--- a/internal/standin/wire/counts.go
+++ b/internal/standin/wire/counts.go
@@ -36,7 +36,8 @@
 type CallerResult struct {
 	User     string            `json:"user"`
 	Classes  map[string]*Class `json:"classes"`
-	Refused  []string          `json:"refused"` // attempt ids answered as not run
+	Refused  []string          `json:"refused"`  // attempt ids answered as not run
+	Deferred []string          `json:"deferred"` // attempt ids told only when to come back
 	Failures []Failure         `json:"failures"`
 	Feeds    Feeds             `json:"feeds"`
 }
