follow, fanout, httpget: full reads that a large deployment can finish

Three causes:

* All changes after a revision come in one response.
Above the limit of 4 MB it was refused and asked for again, for ever.
* After lost history an instance took the state of another one whenever the platform needed more than half of the time for a full read, however old that state was; both then asked for changes that the platform no longer had, 15 times in 6 s.
A state that does not lead beyond the lost revision is now refused (TestLostHistoryNeedsNewerState).
* A response, and the message with the state of another instance, had to be complete within 0.6 to 1 s, which 7 MB are not on a slow link.

--- a/internal/fanout/client.go
+++ b/internal/fanout/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"arbutusdock.example/arbutusdock/internal/follow"
+	"arbutusdock.example/arbutusdock/internal/progress"
 )
 
 const (
@@ -45,9 +47,7 @@
 			return follow.Update{}, err
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, silence)
-	defer cancel()
-	_, data, err := c.conn.Read(ctx)
+	data, err := c.message(ctx)
 	if err != nil {
 		c.close()
 		return follow.Update{}, eris.Wrapf(err, "read from instance %s", c.instance.ID)
@@ -65,6 +65,19 @@
 	return u, nil
 }
 
+// message reads the next message, which may be long: it begins within the time of
+// silence, and takes as long as it makes progress.
+func (c *client) message(ctx context.Context) ([]byte, error) {
+	ctx, monitor, stop := progress.Watch(ctx, silence)
+	defer stop()
+	_, r, err := c.conn.Reader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	monitor.Begin(silence)
+	return io.ReadAll(monitor.Reader(r))
+}
+
 func (c *client) dial(ctx context.Context, after uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -231,6 +232,8 @@
 	revision atomic.Uint64
 	down     atomic.Bool
 	hang     atomic.Bool
+	lost     atomic.Bool // has no history
+	slow     atomic.Bool // takes 400 ms for a full read
 }
 
 func (p *platformStub) ReadAll(ctx context.Context, _ time.Duration) (follow.Update, error) {
@@ -238,6 +241,13 @@
 		<-ctx.Done()
 		return follow.Update{}, ctx.Err()
 	}
+	if p.slow.Load() {
+		select {
+		case <-ctx.Done():
+			return follow.Update{}, ctx.Err()
+		case <-time.After(400 * time.Millisecond):
+		}
+	}
 	return p.ReadChanges(context.Background(), 0, 0, 0)
 }
 
@@ -246,6 +256,9 @@
 	if p.down.Load() {
 		return follow.Update{}, eris.New("down")
 	}
+	if p.lost.Load() {
+		return follow.Update{}, follow.ErrHistoryLost
+	}
 	return follow.Update{Complete: after == 0, Revision: max(p.revision.Load(), after)}, nil
 }
 
@@ -331,6 +344,73 @@
 	assert.Equal(t, u.Config.Version, uint64(3))
 }
 
+// Guards against instances that take each other's old state for ever: the platform
+// has lost the history after it, and takes longer for a full read than the others.
+// Found by TestMemoryAtTargetSize of the soak.
+func TestLostHistoryNeedsNewerState(t *testing.T) {
+	p := &platformStub{}
+	p.lost.Store(true)
+	other, n := newNode(t, "o", p), newNode(t, "n", p)
+	other.state.Apply(&follow.Update{Complete: true, Revision: 7})
+	n.source.rank(Ranking{Sources: []Instance{{"o", other.address()}}})
+	n.source.failed["o"] = time.Now() // not followed for now
+	_, err := n.source.ReadChanges(context.Background(), 7, time.Second, time.Second)
+	assert.ErrorIs(t, err, follow.ErrHistoryLost)
+	p.lost.Store(false)
+	p.slow.Store(true)
+	p.revision.Store(50)
+	u, err := n.source.ReadAll(context.Background(), 200*time.Millisecond)
+	assert.NilError(t, err)
+	assert.Equal(t, u.Revision, uint64(50))
+	other.state.Apply(&follow.Update{Revision: 8})
+	u, err = n.source.ReadAll(context.Background(), 200*time.Millisecond)
+	assert.NilError(t, err)
+	assert.Equal(t, u.Revision, uint64(8), "a newer state is taken at once")
+}
+
+// slowConn is a connection over a slow link.
+type slowConn struct{ net.Conn }
+
+func (c slowConn) Write(b []byte) (n int, err error) {
+	for piece := range slices.Chunk(b, 16<<10) {
+		time.Sleep(time.Duration(len(piece)) * time.Second / (1 << 20))
+		m, err := c.Conn.Write(piece)
+		if n += m; err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+type slowListener struct{ net.Listener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return slowConn{c}, err
+}
+
+// Guards against a state that is given up because a slow link needs longer for it
+// than an instance may be silent.
+func TestLargeStateOverSlowLink(t *testing.T) {
+	n := newNode(t, "n", &platformStub{})
+	u := follow.Update{Complete: true, Revision: 7}
+	for i := range 20_000 {
+		u.Targets = append(u.Targets, target(fmt.Sprintf("some-target-with-a-long-name-%d", i), 5, false))
+	}
+	n.state.Apply(&u)
+	server := httptest.NewUnstartedServer(n.server.Config.Handler)
+	server.Listener = slowListener{server.Listener}
+	server.Start()
+	t.Cleanup(server.Close)
+	c := client{instance: Instance{"n", netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}, version: noVersion}
+	defer c.close()
+	start := time.Now()
+	got, err := c.read(context.Background(), 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(got.Targets), 20_000)
+	assert.Assert(t, time.Since(start) > silence, "the state is too small for this test: %s", time.Since(start))
+}
+
 // Found in kelani-bump inc-25e5: the only instance of a data centre was restarted
 // while the platform was down, and dropped 51 openings until it returned. Guards
 // against an instance that waits for the platform while one of another data
--- a/internal/fanout/server.go
+++ b/internal/fanout/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -15,14 +16,18 @@
 
 	"arbutusdock.example/arbutusdock/internal/follow"
 	"arbutusdock.example/arbutusdock/internal/ids"
+	"arbutusdock.example/arbutusdock/internal/progress"
 )
 
 const (
 	// heartbeatEvery is the longest pause between two messages to a follower.
 	heartbeatEvery = 400 * time.Millisecond
-	// writeTimeout bounds the writing of a message to a follower that does not
-	// read.
-	writeTimeout = time.Second
+	// writePause bounds the pauses in the writing of a message to a follower that
+	// does not read.
+	writePause = time.Second
+	// writePiece is the size of the pieces in which a message is written, in bytes:
+	// the progress of a slow link shows within writePause.
+	writePiece = 32 << 10
 
 	updatesPath   = "/v1/updates"   // WebSocket with CBOR: updates after a revision and a version
 	instancesPath = "/v1/instances" // announces an instance and returns the ranking
@@ -96,9 +101,20 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	return ws.Write(ctx, websocket.MessageBinary, data)
+	ctx, monitor, stop := progress.Watch(ctx, writePause)
+	defer stop()
+	w, err := ws.Writer(ctx, websocket.MessageBinary)
+	if err != nil {
+		return err
+	}
+	monitor.Begin(writePause)
+	for piece := range slices.Chunk(data, writePiece) {
+		if _, err := w.Write(piece); err != nil {
+			return err
+		}
+		monitor.Moved(len(piece))
+	}
+	return w.Close()
 }
 
 // announcement is the query of an instance at a seed.
--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
@@ -80,6 +81,9 @@
 	// Used by the follower's goroutine only.
 	clients map[ids.Instance]*client
 	failed  map[ids.Instance]time.Time
+	// lost is the revision after which the platform no longer has the changes.
+	// The state of an instance that knows no more leads nowhere.
+	lost uint64
 
 	seedsLost bool // used by Announce only
 
@@ -198,9 +202,10 @@
 // ReadAll implements follow.Source. An instance that starts asks the platform
 // first. If that fails or does not answer soon it takes the state of any instance,
 // of the own or else another data centre and however old: it cannot serve without
-// one, and reads on from there.
+// one, and reads on from there. The read of the platform goes on as long as it makes
+// progress.
 func (s *Source) ReadAll(ctx context.Context, timeout time.Duration) (follow.Update, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // ends the reads that are not needed any more
 	platform := make(chan answer, 1)
 	go func() {
@@ -236,6 +241,9 @@
 				others = nil
 				continue
 			}
+			if a.err == nil && s.lost != 0 && a.update.Revision <= s.lost {
+				a.err = errStale
+			}
 			s.config.Count("instance", a.err)
 			if a.err == nil {
 				s.note(a.source, nil)
@@ -308,6 +316,9 @@
 	}
 	u, err := s.platform.ReadChanges(ctx, after, wait, timeout)
 	s.config.Count(platformName, err)
+	if errors.Is(err, follow.ErrHistoryLost) {
+		s.lost = after
+	}
 	if err == nil {
 		s.note(platformName, nil)
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -18,7 +18,7 @@
 )
 
 // ErrHistoryLost is the error of a source that no longer has the changes after
-// the revision asked for.
+// the revision asked for, or too many to deliver.
 var ErrHistoryLost = eris.New("history of changes is lost")
 
 // Target is the record of a target or its removal.
@@ -67,8 +67,8 @@
 	Removed     []passthrough.Endpoint `cbor:"5,keyasint,omitempty"`
 }
 
-// Source is where publications are read. Each call returns after timeout at
-// the latest.
+// Source is where publications are read. Each call returns when timeout has passed
+// without a response, or when a response makes no progress.
 type Source interface {
 	// ReadAll reads everything that is published.
 	ReadAll(ctx context.Context, timeout time.Duration) (Update, error)
--- a/internal/httpget/httpget.go
+++ b/internal/httpget/httpget.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"arbutusdock.example/arbutusdock/internal/progress"
 )
 
 // ErrTooLarge is the error of a response that exceeds the size limit.
@@ -25,6 +27,10 @@
 	return fmt.Sprintf("status %d %s", e.Status, http.StatusText(e.Status))
 }
 
+// bodyPause bounds the pauses within a body. A server in reach sends at least a
+// segment in this time.
+const bodyPause = 500 * time.Millisecond
+
 // connectTimeout bounds the opening of a connection. A server behind a
 // partition does not respond at all; one in reach answers in milliseconds.
 const connectTimeout = 700 * time.Millisecond
@@ -56,14 +62,15 @@
 // Base returns the base URL, for errors and logs.
 func (c *Client) Base() string { return c.base }
 
-// Get reads path, which may have a query, into body. The whole call takes at
-// most timeout. A connection on which a call fails is not used again, since it
+// Get reads path, which may have a query, into body. The response begins within
+// timeout; a body takes as long as it makes progress, so that a large one over a
+// slow link is not given up and begun again. A connection on which a call fails is not used again, since it
 // may have gone silent. The error is a *StatusError for a status other than
 // 200, ErrTooLarge for a response above the size limit, or that of the
 // connection or the decoder; it names the server.
 func (c *Client) Get(ctx context.Context, path string, timeout time.Duration, body any) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	ctx, monitor, stop := progress.Watch(ctx, timeout)
+	defer stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
 	if err != nil {
 		return eris.Wrap(err, "build request")
@@ -76,7 +83,8 @@
 	if response.StatusCode != http.StatusOK {
 		return eris.Wrapf(&StatusError{response.StatusCode}, "read from %s", c.base)
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, c.maxBody+1))
+	monitor.Begin(bodyPause)
+	data, err := io.ReadAll(io.LimitReader(monitor.Reader(response.Body), c.maxBody+1))
 	if err != nil {
 		return eris.Wrapf(err, "read body from %s", c.base)
 	}
--- a/internal/httpget/httpget_test.go
+++ b/internal/httpget/httpget_test.go
@@ -14,8 +14,8 @@
 )
 
 // Guards against a response that is too large, late, redirected, of another status
-// or not JSON and is taken for an answer, and against errors that do not name the
-// server.
+// or not JSON and is taken for an answer, against errors that do not name the
+// server, and against a body that is given up while it comes in.
 func TestGet(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
@@ -29,6 +29,16 @@
 			http.Redirect(w, r, "/good", http.StatusFound)
 		case "/slow":
 			<-r.Context().Done()
+		case "/piecemeal": // longer than the time for a response to begin
+			for _, piece := range []string{`{"pad":"`, strings.Repeat("x", 50), `",`, `"n":`, `7}`} {
+				_, _ = io.WriteString(w, piece)
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(40 * time.Millisecond)
+			}
+		case "/broken":
+			_, _ = io.WriteString(w, `{"n":`)
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
 		default:
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -49,4 +59,6 @@
 	assert.ErrorContains(t, get("/down"), "read from "+s.URL+": status 503")
 	assert.ErrorContains(t, get("/text"), "decode body from "+s.URL)
 	assert.ErrorIs(t, get("/slow"), context.DeadlineExceeded)
+	assert.NilError(t, get("/piecemeal"))
+	assert.ErrorIs(t, get("/broken"), context.DeadlineExceeded)
 }
