--- a/internal/fanout/client.go
+++ b/internal/fanout/client.go
@@ -21,10 +21,17 @@
 	// silence is the time without a message after which an instance is given
 	// up: two heartbeats and some slack.
 	silence = time.Second
-	// maxUpdate bounds a message, in bytes: 29,000 targets of 250 bytes.
-	maxUpdate = 16 << 20
+	// maxMessage bounds a message, in bytes: a configuration of 29,000 routes and
+	// 250 bytes each.
+	maxMessage = 8 << 20
+	// maxTargets bounds the targets of an update, ten times those of the largest
+	// deployment in sight.
+	maxTargets = 300_000
 )
 
+// errTooMany is the error of an update that does not end.
+var errTooMany = eris.New("it has more targets than an update may have")
+
 // errBase is the error of a difference from a version that this instance does not
 // have.
 var errBase = eris.New("its difference is from another version")
@@ -47,15 +54,26 @@
 			return follow.Update{}, err
 		}
 	}
-	data, err := c.message(ctx)
-	if err != nil {
-		c.close()
-		return follow.Update{}, eris.Wrapf(err, "read from instance %s", c.instance.ID)
-	}
 	var u follow.Update
-	if err := cbor.Unmarshal(data, &u); err != nil {
-		c.close()
-		return follow.Update{}, eris.Wrapf(err, "decode update of instance %s", c.instance.ID)
+	for parts := []*follow.Target(nil); ; parts = u.Targets {
+		data, err := c.message(ctx)
+		if err != nil {
+			c.close()
+			return follow.Update{}, eris.Wrapf(err, "read from instance %s", c.instance.ID)
+		}
+		u = follow.Update{}
+		if err := cbor.Unmarshal(data, &u); err != nil {
+			c.close()
+			return follow.Update{}, eris.Wrapf(err, "decode update of instance %s", c.instance.ID)
+		}
+		u.Targets = append(parts, u.Targets...)
+		if !u.Part {
+			break
+		}
+		if len(u.Targets) > maxTargets {
+			c.close()
+			return follow.Update{}, eris.Wrapf(errTooMany, "read from instance %s", c.instance.ID)
+		}
 	}
 	if d := u.ConfigDelta; d != nil && d.Base != c.version() {
 		c.close()
@@ -90,7 +108,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "connect to instance %s at %s", c.instance.ID, c.instance.Address)
 	}
-	conn.SetReadLimit(maxUpdate)
+	conn.SetReadLimit(maxMessage)
 	c.conn, c.revision = conn, after
 	return nil
 }
--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -32,8 +32,8 @@
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
 
-func target(name string, revision uint64, removed bool) follow.Target {
-	return follow.Target{Name: name, Revision: revision, Removed: removed, Record: passthrough.TargetRecord{Name: name, Slots: int(revision)}}
+func target(name string, revision uint64, removed bool) *follow.Target {
+	return &follow.Target{Name: name, Revision: revision, Removed: removed, Record: passthrough.TargetRecord{Name: name, Slots: int(revision)}}
 }
 
 // drawConfig returns a version with some of a few routes.
@@ -57,7 +57,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		states := []*State{NewState(), NewState(), NewState()}
 		configs := make([]*passthrough.Config, len(states)) // as passed on to the core
-		truth := map[string]follow.Target{}
+		truth := map[string]*follow.Target{}
 		var config *passthrough.Config
 		revision := uint64(10)
 		at := make([]uint64, len(states))
@@ -79,7 +79,7 @@
 			step := rapid.IntRange(0, 8).Draw(t, "step")
 			switch {
 			case step > 6: // a follower has read the platform itself, where versions are skipped
-				var all []follow.Target
+				var all []*follow.Target
 				for _, x := range truth {
 					all = append(all, x)
 				}
@@ -106,7 +106,7 @@
 				}
 			default:
 				x := target(fmt.Sprint("t", rapid.IntRange(1, 4).Draw(t, "target")), revision, rapid.Bool().Draw(t, "removed"))
-				u.Targets = []follow.Target{x}
+				u.Targets = []*follow.Target{x}
 				if x.Removed {
 					delete(truth, x.Name)
 				} else {
@@ -155,7 +155,7 @@
 	s := NewState()
 	s.Apply(&follow.Update{Complete: true, Revision: 1})
 	for i := range uint64(logLimit + 10) {
-		s.Apply(&follow.Update{Revision: i + 2, Targets: []follow.Target{target("a", i+2, false)}})
+		s.Apply(&follow.Update{Revision: i + 2, Targets: []*follow.Target{target("a", i+2, false)}})
 	}
 	u, _, _ := s.Since(5, 0)
 	assert.Assert(t, u.Complete)
@@ -472,7 +472,7 @@
 	const tcp, frame, perSecond = 40, 4, 2.5
 	assert.Assert(t, float64(len(heartbeat)+tcp+frame)*degree*perSecond <= 2048, "%d bytes", len(heartbeat))
 	u := follow.Update{Complete: true, Revision: 7, Age: 3, AfterOutage: true, Config: &passthrough.Config{Version: 3},
-		Targets: []follow.Target{{Name: "i-1234567890", Revision: 9, Record: passthrough.TargetRecord{Name: "i-1234567890", Identity: 1 << 39,
+		Targets: []*follow.Target{{Name: "i-1234567890", Revision: 9, Record: passthrough.TargetRecord{Name: "i-1234567890", Identity: 1 << 39,
 			Service: "counter12a", Address: passthrough.Endpoint{IP: [4]byte{10, 1, 2, 3}, Port: 8080}, DataCentre: "gnr-a", Slots: 2, Draining: true,
 			Cold: time.Second, Born: 1 << 41}}, {Name: "i-2", Removed: true, Unreadable: true}}}
 	data, err := cbor.Marshal(&u)
--- a/internal/fanout/server.go
+++ b/internal/fanout/server.go
@@ -28,8 +28,11 @@
 	// writePiece is the size of the pieces in which a message is written, in bytes:
 	// the progress of a slow link shows within writePause.
 	writePiece = 32 << 10
+	// partTargets is the number of targets in one message, about 100 bytes each: the
+	// state is not encoded as a whole, since eight followers may ask at once.
+	partTargets = 1000
 
-	updatesPath   = "/v1/updates"   // WebSocket with CBOR: updates after a revision and a version
+	updatesPath   = "/v2/updates"   // WebSocket with CBOR: updates after a revision and a version
 	instancesPath = "/v1/instances" // announces an instance and returns the ranking
 )
 
@@ -96,7 +99,18 @@
 	}
 }
 
+// send writes an update, one with many targets in parts. It takes targets off u.
 func send(ctx context.Context, ws *websocket.Conn, u *follow.Update) error {
+	for len(u.Targets) > partTargets {
+		if err := sendMessage(ctx, ws, &follow.Update{Part: true, Targets: u.Targets[:partTargets]}); err != nil {
+			return err
+		}
+		u.Targets = u.Targets[partTargets:]
+	}
+	return sendMessage(ctx, ws, u)
+}
+
+func sendMessage(ctx context.Context, ws *websocket.Conn, u *follow.Update) error {
 	data, err := cbor.Marshal(u)
 	if err != nil {
 		return err
--- a/internal/fanout/state.go
+++ b/internal/fanout/state.go
@@ -22,10 +22,10 @@
 	mu        sync.Mutex
 	revision  uint64
 	routes    routes
-	targets   map[string]follow.Target // absent when removed
-	log       []change                 // in the order of their revisions
-	floor     uint64                   // changes up to this revision are not in the log
-	confirmed time.Time                // when the state was last known to be complete
+	targets   map[string]*follow.Target // absent when removed
+	log       []change                  // in the order of their revisions
+	floor     uint64                    // changes up to this revision are not in the log
+	confirmed time.Time                 // when the state was last known to be complete
 	known     bool
 	changed   chan struct{} // closed at the next change
 }
@@ -37,7 +37,7 @@
 
 // NewState returns an empty state.
 func NewState() *State {
-	return &State{targets: map[string]follow.Target{}, changed: make(chan struct{})}
+	return &State{targets: map[string]*follow.Target{}, changed: make(chan struct{})}
 }
 
 // Apply records an update. It turns a difference of the configuration into the
@@ -46,7 +46,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if u.Complete {
-		s.targets = make(map[string]follow.Target, len(u.Targets))
+		s.targets = make(map[string]*follow.Target, len(u.Targets))
 		s.log = s.log[:0]
 		s.floor = u.Revision
 		s.known = true
@@ -115,7 +115,7 @@
 		t, present := s.targets[c.name]
 		switch {
 		case !present:
-			t = follow.Target{Name: c.name, Revision: c.revision, Removed: true}
+			t = &follow.Target{Name: c.name, Revision: c.revision, Removed: true}
 		case t.Revision != c.revision:
 			continue // a later entry of the log has it
 		}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -44,10 +44,12 @@
 	Complete bool                `cbor:"1,keyasint,omitempty"` // everything that is published, not only changes
 	Revision uint64              `cbor:"2,keyasint,omitempty"` // up to which it is known
 	Config   *passthrough.Config `cbor:"3,keyasint,omitempty"`
-	Targets  []Target            `cbor:"4,keyasint,omitempty"` // in the order of their changes
+	Targets  []*Target           `cbor:"4,keyasint,omitempty"` // in the order of their changes; shared, never changed
 	Invalid  []Invalid           `cbor:"-"`                    // logged where it was read
 	// Age is the time since the source itself was known to be complete.
 	Age time.Duration `cbor:"5,keyasint,omitempty"`
+	// Part tells that the rest of the update follows; only its targets are set.
+	Part bool `cbor:"8,keyasint,omitempty"`
 	// ConfigDelta is set in place of Config by a source that knows what the
 	// reader has. The reader's state turns it into Config.
 	ConfigDelta *ConfigDelta `cbor:"7,keyasint,omitempty"`
@@ -183,7 +185,7 @@
 
 // newer returns the targets of u without those that are older than what is
 // known: the pages of a full read and the changes after it overlap.
-func (f *Follower) newer(u *Update) []Target {
+func (f *Follower) newer(u *Update) []*Target {
 	if u.Complete {
 		clear(f.seen)
 	}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -58,7 +58,7 @@
 	return s, got
 }
 
-func target(name string, revision uint64) Target { return Target{Name: name, Revision: revision} }
+func target(name string, revision uint64) *Target { return &Target{Name: name, Revision: revision} }
 
 // Guards against changes that are read from the wrong revision, and against a
 // full read without need after an outage.
@@ -67,7 +67,7 @@
 	s, got := follow(t,
 		answer{err: down},
 		answer{update: Update{Complete: true, Revision: 5}},
-		answer{update: Update{Revision: 7, Targets: []Target{target("a", 7)}}},
+		answer{update: Update{Revision: 7, Targets: []*Target{target("a", 7)}}},
 		answer{err: down}, answer{err: down},
 		answer{update: Update{Revision: 9}},
 	)
@@ -94,10 +94,10 @@
 // read overlap with the changes after it.
 func TestOlderRecordsAreLeftOut(t *testing.T) {
 	_, got := follow(t,
-		answer{update: Update{Complete: true, Revision: 5, Targets: []Target{target("a", 8), target("b", 3)}}},
-		answer{update: Update{Revision: 9, Targets: []Target{target("a", 6), target("a", 8), target("b", 9)}}},
+		answer{update: Update{Complete: true, Revision: 5, Targets: []*Target{target("a", 8), target("b", 3)}}},
+		answer{update: Update{Revision: 9, Targets: []*Target{target("a", 6), target("a", 8), target("b", 9)}}},
 	)
-	assert.DeepEqual(t, got[1].Targets, []Target{target("a", 8), target("b", 9)})
+	assert.DeepEqual(t, got[1].Targets, []*Target{target("a", 8), target("b", 9)})
 }
 
 // Guards against reads that take longer than a change may take to be in force,
--- a/internal/forwarder/forward.go
+++ b/internal/forwarder/forward.go
@@ -69,15 +69,15 @@
 	if u.Config != nil {
 		f.core.Config(u.Config)
 	}
-	var present []passthrough.TargetRecord // of a complete update
-	for i := range u.Targets {
-		switch t := &u.Targets[i]; {
+	var present []*passthrough.TargetRecord // of a complete update
+	for _, t := range u.Targets {
+		switch {
 		case t.Unreadable:
 			f.core.Disregard(now, t.Name)
 		case t.Removed:
 			f.core.Remove(now, t.Name)
 		case u.Complete:
-			present = append(present, t.Record)
+			present = append(present, &t.Record)
 		default:
 			f.core.Put(now, &t.Record)
 		}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -8,7 +8,6 @@
 	"io"
 	"log/slog"
 	"net"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -86,10 +85,6 @@
 // stdout, spans to what the settings name.
 func New(all settings.Settings, stdout, stderr io.Writer) (*Forwarder, error) {
 	s := all.Passthrough
-	if s.MemoryBytes > 0 {
-		// The collector works harder as the process nears its limit.
-		debug.SetMemoryLimit(s.MemoryBytes / 2)
-	}
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.Listen))
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen for datagrams on %s", s.Listen)
@@ -167,6 +162,7 @@
 	go follower.Run(ctx)
 	go f.awaitStop(ctx)
 	go f.reload.Run(ctx)
+	go f.limitHeap(ctx)
 	err = f.forward(ctx)
 	f.log.Info("stopped", "packets", f.received.Load(), "log_lines_dropped", f.out.Stats().Dropped)
 	return err
--- a/internal/passthrough/learn.go
+++ b/internal/passthrough/learn.go
@@ -96,14 +96,14 @@
 
 // Replace records a complete list of targets. Those that are not in it are
 // removed.
-func (c *Core) Replace(now ids.Time, list []TargetRecord) {
+func (c *Core) Replace(now ids.Time, list []*TargetRecord) {
 	if c.learned == 0 {
 		c.learned = now
 	}
 	present := make(map[string]bool, len(list))
-	for i := range list {
-		present[list[i].Name] = true
-		c.Put(now, &list[i])
+	for _, r := range list {
+		present[r.Name] = true
+		c.Put(now, r)
 	}
 	for _, t := range c.targets.slots {
 		if t != nil && !present[t.Name] {
