fanout: an outage of the platform is waited out at the source

When the platform is away for all, every instance finds its source stale and tried the platform every 0.1 to 0.4 s; at 2,500 instances that is above the 2,000 reads a second that it allows, just when it returns. An instance whose source is stale and whose own read fails now listens to the source for a second before the next try: the first instance that reaches the platform, usually the head of the tree, passes the news on. An update of a stale source that says anything is not used, and asked for again.

--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -357,6 +357,32 @@
 	assert.Equal(t, u.Config.Version, uint64(3))
 }
 
+// Guards against instances that all keep asking a platform that is away, of which
+// 2,500 would exceed its rate at its return, and against one that does not notice
+// when the instance that it follows is up to date again.
+func TestOutageIsWaitedOut(t *testing.T) {
+	p := &platformStub{}
+	p.down.Store(true)
+	reader, n := newNode(t, "r", p), newNode(t, "n", p)
+	n.source.rank(Ranking{Sources: []Instance{{"r", reader.address()}}, Live: 2})
+	reader.state.Apply(&follow.Update{Complete: true, Revision: 7, Age: time.Minute})
+	var back time.Time
+	time.AfterFunc(4*time.Second, func() {
+		back = time.Now()
+		reader.state.Apply(&follow.Update{Revision: 8})
+	})
+	var err error
+	for start := time.Now(); time.Since(start) < 8*time.Second; {
+		if _, err = n.source.ReadChanges(context.Background(), 7, time.Second, time.Second); err == nil {
+			break
+		}
+		time.Sleep(200 * time.Millisecond) // as the follower does
+	}
+	assert.NilError(t, err, "it does not notice the return")
+	assert.Assert(t, p.reads.Load() <= 5, "%d reads of the platform in 4 s", p.reads.Load())
+	assert.Assert(t, !back.IsZero() && time.Since(back) < time.Second, "noticed after %s", time.Since(back))
+}
+
 // Guards against instances that take each other's old state for ever: the platform
 // has lost the history after it, and takes longer for a full read than the others.
 // Found by TestMemoryAtTargetSize of the soak.
--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -37,6 +37,10 @@
 	// that starts waits for the platform alone. When all start together the
 	// platform takes longer, and nobody else knows anything.
 	platformHead = 0.5
+	// staleWait is the time for which an instance that cannot read the platform
+	// listens to a source that cannot either, before it tries again. 2,500 instances
+	// that tried every 0.3 s would exceed the rate of the platform at its return.
+	staleWait = time.Second
 	// hedgeAfter is the time without an answer after which the next instance is
 	// asked as well.
 	hedgeAfter = 100 * time.Millisecond
@@ -81,6 +85,10 @@
 	// Used by the follower's goroutine only.
 	clients map[ids.Instance]*client
 	failed  map[ids.Instance]time.Time
+	// outage is set while neither the platform nor an up to date source answers.
+	outage bool
+	// stale is the source that was last found to be stale.
+	stale ids.Instance
 	// lost is the revision after which the platform no longer has the changes.
 	// The state of an instance that knows no more leads nowhere.
 	lost uint64
@@ -312,10 +320,14 @@
 // ReadChanges implements follow.Source.
 func (s *Source) ReadChanges(ctx context.Context, after uint64, wait, timeout time.Duration) (follow.Update, error) {
 	if u, ok := s.readPeers(ctx, after); ok {
+		s.outage = false
 		return u, nil
 	}
 	u, err := s.platform.ReadChanges(ctx, after, wait, timeout)
 	s.config.Count(platformName, err)
+	if s.outage = err != nil; s.outage {
+		delete(s.failed, s.stale) // it is listened to until either is back
+	}
 	if errors.Is(err, follow.ErrHistoryLost) {
 		s.lost = after
 	}
@@ -336,13 +348,19 @@
 			c = &client{instance: i, version: s.config.Version}
 			s.clients[i.ID] = c
 		}
-		u, err := c.read(ctx, after)
+		u, err := s.readFresh(ctx, c, after)
 		s.config.Count("instance", err)
-		if err == nil && u.Age > s.config.MaxAge {
-			err = errStale
+		if errors.Is(err, errStale) && s.outage {
+			// It is listened to again after the next try of the platform.
+			s.note("none", eris.Wrapf(err, "source %s", i.ID))
+			s.closeOthers(i.ID)
+			return follow.Update{}, false
 		}
 		if err != nil {
 			s.failed[i.ID] = time.Now()
+			if errors.Is(err, errStale) {
+				s.stale = i.ID
+			}
 			c.close()
 			if ctx.Err() == nil {
 				s.note("none", eris.Wrapf(err, "source %s", i.ID))
@@ -357,6 +375,27 @@
 	return follow.Update{}, false
 }
 
+// readFresh reads the next update of an instance that is not too old. During an
+// outage it waits for one: the first instance that reaches the platform again passes
+// it on, so that not all have to keep trying.
+func (s *Source) readFresh(ctx context.Context, c *client, after uint64) (follow.Update, error) {
+	start := time.Now()
+	for {
+		u, err := c.read(ctx, after)
+		if err != nil || u.Age <= s.config.MaxAge {
+			return u, err
+		}
+		if len(u.Targets) > 0 || u.Complete || u.Config != nil || u.ConfigDelta != nil {
+			c.close() // what it tells is not used, and must come again
+			return u, errStale
+		}
+		if !s.outage || time.Since(start) >= staleWait {
+			return u, errStale
+		}
+		after = u.Revision
+	}
+}
+
 // closeOthers ends the connections to instances other than the one that is
 // followed. Nobody would read what they send.
 func (s *Source) closeOthers(followed ids.Instance) {
