--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -433,9 +433,15 @@
 func TestLargeStateOverSlowLink(t *testing.T) {
 	n := newNode(t, "n", &platformStub{})
 	u := follow.Update{Complete: true, Revision: 7}
-	for i := range 20_000 {
+	const targets, routes = 3 * partTargets, 20_000 // the configuration is one message
+	for i := range targets {
 		u.Targets = append(u.Targets, target(fmt.Sprintf("some-target-with-a-long-name-%d", i), 5, false))
 	}
+	u.Config = &passthrough.Config{Version: 1}
+	for i := range routes {
+		u.Config.Routes = append(u.Config.Routes, passthrough.Route{Name: fmt.Sprintf("some-route-with-a-long-name-%d", i),
+			Address: passthrough.Endpoint{IP: [4]byte{198, 18, byte(i >> 8), byte(i)}, Port: 443}, Splits: []passthrough.Split{{Service: "service", Weight: 1}}})
+	}
 	n.state.Apply(&u)
 	server := httptest.NewUnstartedServer(n.server.Config.Handler)
 	server.Listener = slowListener{server.Listener}
@@ -446,7 +452,8 @@
 	start := time.Now()
 	got, err := c.read(context.Background(), 0)
 	assert.NilError(t, err)
-	assert.Equal(t, len(got.Targets), 20_000)
+	assert.Equal(t, len(got.Targets), targets)
+	assert.Equal(t, len(got.Config.Routes), routes)
 	assert.Assert(t, time.Since(start) > silence, "the state is too small for this test: %s", time.Since(start))
 }
 
