--- a/internal/fanout/client.go
+++ b/internal/fanout/client.go
@@ -1,6 +1,7 @@
 package fanout
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -84,16 +85,21 @@
 }
 
 // message reads the next message, which may be long: it begins within the time of
-// silence, and takes as long as it makes progress.
+// silence, and takes as long as it makes progress; otherwise its error is
+// context.DeadlineExceeded.
 func (c *client) message(ctx context.Context) ([]byte, error) {
 	ctx, monitor, stop := progress.Watch(ctx, silence)
 	defer stop()
 	_, r, err := c.conn.Reader(ctx)
 	if err != nil {
-		return nil, err
+		return nil, cmp.Or(context.Cause(ctx), err)
 	}
 	monitor.Begin(silence)
-	return io.ReadAll(monitor.Reader(r))
+	data, err := io.ReadAll(monitor.Reader(r))
+	if err != nil {
+		return nil, cmp.Or(context.Cause(ctx), err)
+	}
+	return data, nil
 }
 
 func (c *client) dial(ctx context.Context, after uint64) error {
--- a/internal/httpget/httpget.go
+++ b/internal/httpget/httpget.go
@@ -64,10 +64,11 @@
 
 // Get reads path, which may have a query, into body. The response begins within
 // timeout; a body takes as long as it makes progress, so that a large one over a
-// slow link is not given up and begun again. A connection on which a call fails is not used again, since it
-// may have gone silent. The error is a *StatusError for a status other than
-// 200, ErrTooLarge for a response above the size limit, or that of the
-// connection or the decoder; it names the server.
+// slow link is not given up and begun again. A connection on which a call fails is
+// not used again, since it may have gone silent. The error is
+// context.DeadlineExceeded for a response that does not begin or goes silent, a
+// *StatusError for a status other than 200, ErrTooLarge for a response above the
+// size limit, or that of the connection or the decoder; it names the server.
 func (c *Client) Get(ctx context.Context, path string, timeout time.Duration, body any) error {
 	ctx, monitor, stop := progress.Watch(ctx, timeout)
 	defer stop()
