--- a/soak/size_test.go
+++ b/soak/size_test.go
@@ -52,7 +52,7 @@
 		t.Logf("%s: %d bytes at the peak", i.id, peak)
 		assert.Assert(t, peak <= controlMemory, "%s took %d bytes", i.id, peak)
 		state := stateOf(t, i) // afterwards, since the answer itself takes memory
-		for range 50 { // beside the soak a version may take longer
+		for range 50 {         // beside the soak a version may take longer
 			if state.Version == 4 {
 				break
 			}
