--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -23,7 +23,7 @@
 
 const (
 	soakTime   = 12 * time.Second // of faults, in a run without settings
-	soakSettle = 12 * time.Second // of load after the last fault, longer than a broken feed may take to return
+	soakSettle = 12 * time.Second // of load after the last fault; feeds that broke have to return in it
 	soakRate   = 40               // requests a second of each user; 3 runs share the processors
 	longest    = 4000             // milliseconds of a fault
 	markEvery  = 3 * time.Second  // between the events that cover a long fault; less than they excuse each
--- a/internal/forwarder/memory.go
+++ b/internal/forwarder/memory.go
@@ -9,12 +9,12 @@
 
 const (
 	// controlHeap is the memory, in bytes, that the Go runtime may use while less
-	// is alive. What is published at the target size keeps 22 MB alive; with the
-	// collector's usual reserve of as much again, and what a full read leaves
-	// behind, a process took 103 MB of the 64 MB that control may have there.
+	// is alive. What is published at the target size keeps 22 MB alive, and control
+	// may take 64 MB there: with the collector's usual reserve of as much again, and
+	// what a full read leaves behind, a process peaked at 103 MB.
 	controlHeap = 38 << 20
-	// heapReserve is the least reserve of the collector, as a factor of what is
-	// alive: it would work without a pause at a limit close to that.
+	// heapReserve is the least limit, as a factor of what is alive: closer to that
+	// the collector would run all the time.
 	heapReserve = 1.5
 	// heapCheck is the interval at which the limit is adapted.
 	heapCheck = time.Second
