--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -164,6 +164,9 @@
 		})
 	}
 	calls.Wait()
+	if ctx.Err() != nil && !leaving && !reachable.Load() {
+		return // cancelled by a planned stop, which says nothing about the seeds
+	}
 	s.recordSeedResult(reachable.Load())
 }
 
--- a/internal/fanout/source_test.go
+++ b/internal/fanout/source_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -306,6 +308,29 @@
 	assert.Equal(t, seed.dir.Ranking(time.Now(), "dc", "n").Live, 0)
 }
 
+// Guards against seeds that are reported as lost because a planned stop cancels an
+// announcement that they have not answered yet.
+func TestCancelledAnnouncementLosesNoSeed(t *testing.T) {
+	var log syncbuf.Buffer
+	received := make(chan struct{}, 2)
+	var first sync.Once
+	seed := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		received <- struct{}{}
+		first.Do(func() { <-r.Context().Done() })
+		_, _ = io.WriteString(w, "{}")
+	}))
+	defer seed.Close()
+	s := NewSource(&platformStub{}, Config{Log: slog.New(slog.NewTextHandler(&log, nil)), ConfigVersion: noVersion,
+		Seeds: []string{strings.TrimPrefix(seed.URL, "http://")}})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { s.Announce(ctx); close(done) }()
+	<-received
+	cancel()
+	<-done
+	assert.Assert(t, !strings.Contains(log.String(), "seeds-lost"), log.String())
+}
+
 // Guards against a message field that is lost in encoding, and against messages that
 // exceed their share of the control traffic: 2 KB/s for 2.5 heartbeats a second to
 // each of 8 followers, and 300 bytes for a change of a target.
--- a/internal/standin/backend/feeds.go
+++ b/internal/standin/backend/feeds.go
@@ -25,7 +25,8 @@
 	conn   *client.Conn
 	cancel context.CancelFunc
 	opened time.Time
-	muted  bool // guarded by Server.mu; if set, the feed stays open but sends nothing
+	muted  bool   // guarded by Server.mu; if set, the feed stays open but sends nothing
+	latest uint64 // guarded by Server.mu; sequence number of the latest reading sent
 }
 
 func (req *request) feedName() string {
@@ -60,6 +61,7 @@
 	o := &observer{
 		key: cc.RemoteAddr().String() + "/" + string(req.token), feed: req.feedName(), token: req.token, conn: cc, cancel: cancel, opened: time.Now(),
 	}
+	seq, next := s.sequenceAt(o.feed, time.Now())
 	s.mu.Lock()
 	old := s.observers[o.key]
 	refuse := old == nil && (len(s.observers) >= maxFeeds || s.state == Draining && time.Since(s.stateSince) > s.group.opt.DrainGrace)
@@ -69,7 +71,9 @@
 		if s.state == Draining && time.Since(s.stateSince) > lateWorkThreshold && old == nil {
 			s.counts.LateWork++
 		}
+		o.latest = seq
 		if old != nil {
+			s.countSkipped(old.latest, seq)
 			s.removeObserver(old)
 		} else {
 			s.counts.FeedsOpened++
@@ -83,13 +87,20 @@
 		w.Message().SetOptionUint32(message.MaxAge, 1)
 		return
 	}
-	seq, next := s.sequenceAt(o.feed, time.Now())
 	s.setResponse(w.Message(), codes.Content, wire.Reading(s.service, o.feed, seq), 0)
 	w.Message().SetObserve(uint32(seq & 0xffffff))
 	w.Message().SetOptionUint32(message.MaxAge, s.readingMaxAge())
 	go s.sendNotifications(ctx, o, next)
 }
 
+// countSkipped counts the readings between two that were sent in succession; the caller
+// holds s.mu.
+func (s *Server) countSkipped(previous, seq uint64) {
+	if seq > previous+1 {
+		s.counts.SkippedReadings += int(seq - previous - 1)
+	}
+}
+
 func (s *Server) deregisterObserver(peer string, token message.Token) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -126,6 +137,10 @@
 		seq, next = s.sequenceAt(o.feed, time.Now())
 		s.mu.Lock()
 		muted := o.muted || s.state == Stopped
+		if !muted {
+			s.countSkipped(o.latest, seq)
+			o.latest = seq
+		}
 		graceExpired := s.state == Draining && time.Since(s.stateSince) > s.group.opt.DrainGrace
 		if graceExpired {
 			s.counts.FeedsClosedByDrain++
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -137,7 +137,7 @@
 			if err != nil {
 				return err
 			}
-			conn := &callerConn{caller: fmt.Sprintf("%s-%s-%d", g.opt.User, dc, len(g.conns[key])), coap: cc}
+			conn := &callerConn{caller: fmt.Sprintf("%s-%s-%d", g.opt.User, dc, len(g.conns[key])), coap: cc, ackTimeout: d.ackTimeout}
 			if key != service {
 				conn.caller += "f"
 			}
--- a/internal/standin/caller/caller_test.go
+++ b/internal/standin/caller/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net"
 	"net/http/httptest"
 	"net/netip"
@@ -71,6 +72,15 @@
 	return g.Run(ctx)
 }
 
+// skippedReadings returns the number of readings that the backend servers did not send
+// because the next one was due before they came to it.
+func skippedReadings(g *backend.Group) (n int) {
+	for _, c := range g.Counts().Targets {
+		n += c.SkippedReadings
+	}
+	return n
+}
+
 // Guards against failures that the stand-ins themselves cause: with callers
 // connected directly to the backend servers, no guarantee may be violated.
 func TestCallerAndBackend(t *testing.T) {
@@ -80,7 +90,7 @@
 		v := report.Evaluate(report.Input{Backends: []wire.BackendCounts{g.Counts()}, Callers: []wire.CallerResult{r}})
 		assert.Assert(t, v.OK(), "%s %v", v.Line(), v.Details)
 		assert.Equal(t, r.Feeds.Opened, 6)
-		assert.Equal(t, r.Feeds.Missing, 0)
+		assert.Assert(t, r.Feeds.Missing <= skippedReadings(g), "%+v, skipped by the servers: %d", r.Feeds, skippedReadings(g))
 		assert.Assert(t, r.Feeds.Refreshes > 0 && r.Feeds.Readings > 60, "%+v", r.Feeds)
 		if user == "kelani" {
 			assert.Assert(t, r.Classes[LargeCertificate] != nil, "no transfer of many blocks: %+v", r.Classes[Certificate])
@@ -88,10 +98,11 @@
 	}
 }
 
-// forward acts as an instance: it forwards datagrams between callers and the
-// backend servers at one IP address, with one upstream socket for each caller and
-// port.
-func forward(t *testing.T, ip, to string) {
+// forward acts as an instance without admission control: it forwards datagrams
+// between callers and the backend servers at one IP address, with one upstream socket
+// for each caller and port. It drops the replies for which drop returns true; a nil
+// drop drops none.
+func forward(t *testing.T, ip, to string, drop func(reply []byte) bool) {
 	t.Helper()
 	for _, port := range ports {
 		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(ip), Port: int(port)})
@@ -112,7 +123,9 @@
 					go func() {
 						replyBuf := make([]byte, 2000)
 						for n, err := u.Read(replyBuf); err == nil; n, err = u.Read(replyBuf) {
-							_, _ = c.WriteToUDPAddrPort(replyBuf[:n], from)
+							if drop == nil || !drop(replyBuf[:n]) {
+								_, _ = c.WriteToUDPAddrPort(replyBuf[:n], from)
+							}
 						}
 					}()
 				}
@@ -122,12 +135,47 @@
 	}
 }
 
+// retransmissionsOnly gives the message layer time for all of its retransmissions. A
+// caller that sends a request again before that, as a new message, runs it twice where
+// no instance compares admission tokens.
+func retransmissionsOnly(o *Options) {
+	o.AckTimeout = defaultAckTimeout
+	o.Deadline = o.maxTransmitSpan()
+}
+
+// Guards against a request that runs twice because the first two transmissions of its
+// response are lost: the third one arrives up to 2.25 s after the request. Found by
+// TestCallerThroughFabric with a deadline of 1 s, in which this is left to chance.
+func TestLostResponsesRunNothingTwice(t *testing.T) {
+	g := startBackends(t, "127.82.0.3")
+	var mu sync.Mutex
+	transmissions := map[uint16]int{}
+	forward(t, "127.82.1.2", "127.82.0.3", func(reply []byte) bool {
+		if codes.Code(reply[1]) != codes.Changed {
+			return false
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		id := binary.BigEndian.Uint16(reply[2:])
+		transmissions[id]++
+		return transmissions[id] <= 2
+	})
+	r := runMix(t, "kelani", "127.82.1.2", func(o *Options) {
+		retransmissionsOnly(o)
+		o.Sources, o.Feeds = []Source{{Class: CheckIn, Service: "alarm", Rate: 40}}, nil
+		o.Duration = time.Second
+	})
+	v := report.Evaluate(report.Input{Backends: []wire.BackendCounts{g.Counts()}, Callers: []wire.CallerResult{r}})
+	assert.Assert(t, v.OK(), "%s %v", v.Line(), v.Details)
+	assert.Assert(t, r.Classes[CheckIn].Started > 10)
+}
+
 // Guards against a fabric that corrupts or permanently drops traffic: despite
 // losses, duplicates and reordering, go-coap's retransmissions must get a response
 // to each request.
 func TestCallerThroughFabric(t *testing.T) {
 	g := startBackends(t, "127.82.0.2")
-	forward(t, "127.82.1.1", "127.82.0.2")
+	forward(t, "127.82.1.1", "127.82.0.2", nil)
 	p, err := platform.New("", 0)
 	assert.NilError(t, err)
 	p.Set(platform.Instance{ID: "i1", DataCentre: "dc1", CallerIP: "127.82.1.1"})
@@ -148,7 +196,7 @@
 	t.Cleanup(func() { cancel(); <-done })
 	time.Sleep(200 * time.Millisecond)
 
-	r := runMix(t, "kelani", "127.82.2.1", nil)
+	r := runMix(t, "kelani", "127.82.2.1", retransmissionsOnly)
 	v := report.Evaluate(report.Input{Backends: []wire.BackendCounts{g.Counts()}, Callers: []wire.CallerResult{r}})
 	assert.Assert(t, v.OK(), "%s %v", v.Line(), v.Details)
 	n := f.Counts()
--- a/internal/standin/caller/conn.go
+++ b/internal/standin/caller/conn.go
@@ -62,9 +62,10 @@
 
 // callerConn is the connection of one caller.
 type callerConn struct {
-	caller string // caller name in request ids
-	host   string // Uri-Host, which names the partner
-	coap   *client.Conn
+	caller     string // caller name in request ids
+	host       string // Uri-Host, which names the partner
+	coap       *client.Conn
+	ackTimeout time.Duration
 }
 
 // request holds the parameters of a request, which may be sent several times.
@@ -88,6 +89,9 @@
 	maxAge time.Duration
 	etag   []byte
 	more   bool // further blocks follow
+	// copied is set if the response took so long that the message layer may have sent
+	// the request more than once.
+	copied bool
 }
 
 // newMessage returns a message for req; go-coap assigns the message id.
@@ -129,12 +133,13 @@
 		return response{}, err
 	}
 	defer c.coap.ReleaseMessage(m)
+	began := time.Now()
 	r, err := c.coap.Do(m)
 	if err != nil {
 		return response{}, eris.Wrapf(err, "request %s block %d", req.id, req.block)
 	}
 	defer c.coap.ReleaseMessage(r)
-	resp := response{code: r.Code(), maxAge: 60 * time.Second}
+	resp := response{code: r.Code(), maxAge: 60 * time.Second, copied: time.Since(began) >= c.ackTimeout}
 	if resp.body, err = r.ReadBody(); err != nil {
 		return response{}, eris.Wrapf(err, "read response body of request %s", req.id)
 	}
--- a/internal/standin/caller/operation.go
+++ b/internal/standin/caller/operation.go
@@ -98,7 +98,7 @@
 // states that the request was not executed; any other 5.03 only tells when to
 // retry.
 func (g *Generator) recordRefusal(id wire.ID, resp response) {
-	g.stats.addRefusal(id.String(), resp.code == codes.Unauthorized || string(resp.body) == "not run")
+	g.stats.addRefusal(id.String(), resp.code == codes.Unauthorized || string(resp.body) == "not run", resp.copied)
 }
 
 // runAttempt sends one request until it gets a final response, and fetches all
@@ -143,10 +143,13 @@
 // sends req again with the same admission token, if any, and after a 4.01 with the
 // new token in the Echo option.
 func (g *Generator) sendWithRetries(ctx context.Context, conn *callerConn, op operation, req *request) (response, error) {
+	copied := false
 	for echoes := 0; ; {
 		sendCtx, stop := context.WithTimeout(ctx, g.opt.Deadline+responseGrace)
 		resp, err := conn.roundTrip(sendCtx, *req)
 		stop()
+		copied = copied || resp.copied || err != nil
+		resp.copied = copied
 		switch {
 		case err != nil && ctx.Err() == nil && errors.Is(err, context.DeadlineExceeded):
 			g.stats.updateClass(op.class, func(k *wire.ClassCounts) { k.Resends++ })
--- a/internal/standin/caller/stats.go
+++ b/internal/standin/caller/stats.go
@@ -51,12 +51,15 @@
 	s.result.Failures = append(s.result.Failures, f)
 }
 
-func (s *stats) addRefusal(id string, notRun bool) {
+func (s *stats) addRefusal(id string, notRun, copied bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := &s.result.Deferred
-	if notRun {
+	switch {
+	case notRun:
 		list = &s.result.Refused
+	case copied:
+		list = &s.result.DeferredCopies
 	}
 	*list = append(*list, id)
 }
--- a/internal/standin/report/report.go
+++ b/internal/standin/report/report.go
@@ -69,6 +69,9 @@
 	// and the response does not state whether they ran. But their results were not
 	// used.
 	WastedExecutions int
+	// WastedCopies counts such requests that the caller may have sent more than once.
+	// An instance that receives a copy cannot know that another one runs the request.
+	WastedCopies int
 	// LateWork counts requests and feeds that a backend server got more than 5 s
 	// after the start of its drain, and feeds still open there at the end of the
 	// grace period.
@@ -141,6 +144,11 @@
 				v.WastedExecutions++
 			}
 		}
+		for _, id := range c.DeferredCopies {
+			if runs[id].Count > 0 {
+				v.WastedCopies++
+			}
+		}
 		v.checkFailures(c.Failures, in.Events)
 		for _, name := range slices.Sorted(maps.Keys(c.Classes)) {
 			class := c.Classes[name]
@@ -273,7 +281,7 @@
 	}
 	fmt.Fprintf(w, "\nallowed breaks: %d feeds whose last reading was between %s before and %s after the killing of an instance broke once and came back within %s\n",
 		v.AllowedBreaks, killWindowBefore, killWindowAfter, maxRecoveryTime)
-	fmt.Fprintf(w, "wasted: %d requests were told to come back although they had run\n", v.WastedExecutions)
+	fmt.Fprintf(w, "wasted: %d requests were told to come back although they had run, and %d of which the caller may have sent copies\n", v.WastedExecutions, v.WastedCopies)
 	for i, d := range v.Details {
 		if i == 40 {
 			fmt.Fprintf(w, "... and %d more\n", len(v.Details)-i)
--- a/internal/standin/wire/counts.go
+++ b/internal/standin/wire/counts.go
@@ -18,9 +18,10 @@
 	WrongService       int    `json:"foreign"`   // requests that belong to another service
 	Feeds              int    `json:"feeds"`     // currently open
 	FeedsOpened        int    `json:"feeds_opened"`
-	FeedsClosedByDrain int    `json:"feeds_cut"` // still open when the drain grace period ended
-	Readings           int    `json:"readings"`  // acknowledged notifications
-	LateWork           int    `json:"late_work"` // requests and feeds started more than 5 s after the drain began
+	FeedsClosedByDrain int    `json:"feeds_cut"`        // still open when the drain grace period ended
+	Readings           int    `json:"readings"`         // acknowledged notifications
+	SkippedReadings    int    `json:"skipped_readings"` // not sent to an open feed since a newer one was due
+	LateWork           int    `json:"late_work"`        // requests and feeds started more than 5 s after the drain began
 	MaxRunning         int    `json:"max_running"`
 }
 
@@ -38,8 +39,11 @@
 	Classes  map[string]*ClassCounts `json:"classes"`
 	Refused  []string                `json:"refused"`  // ids of attempts rejected with a statement that they did not run
 	Deferred []string                `json:"deferred"` // ids of attempts rejected with only a retry time
-	Failures []Failure               `json:"failures"`
-	Feeds    FeedCounts              `json:"feeds"`
+	// DeferredCopies is like Deferred, for attempts that the caller may have sent more
+	// than once: the response came no sooner than ACK_TIMEOUT.
+	DeferredCopies []string   `json:"deferred_copies"`
+	Failures       []Failure  `json:"failures"`
+	Feeds          FeedCounts `json:"feeds"`
 }
 
 // ClassCounts holds the counters of one class of requests. Latencies are in
