--- a/cmd/arbutusdock/flows.go
+++ b/cmd/arbutusdock/flows.go
@@ -26,8 +26,8 @@
 	for i := range states {
 		s := &states[i]
 		_, _ = fmt.Fprintf(out, "instance %s  data centre %s  in rotation: %v\n", s.Instance, s.DataCentre, s.Serving)
-		_, _ = fmt.Fprintf(out, "configuration version %d with %d routes  news from %s, %s old  flows remembered %d\n",
-			s.Version, s.Routes, s.Source, s.NewsAge.Round(time.Millisecond), s.Flows)
+		_, _ = fmt.Fprintf(out, "configuration version %d with %d routes  news from %s, %s old, era %d, revision %d  flows remembered %d\n",
+			s.Version, s.Routes, s.Source, s.NewsAge.Round(time.Millisecond), s.Era, s.Revision, s.Flows)
 		if err := showFlowTargets(out, "BACKEND SERVERS", s.Targets); err != nil {
 			return err
 		}
--- a/internal/fanout/client.go
+++ b/internal/fanout/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -43,16 +44,26 @@
 	instance      Instance
 	configVersion func() uint64 // returns the current version of the configuration
 	conn          *websocket.Conn
-	revision      uint64 // revision of the last update read from conn
+	position      follow.Position // of the last update read from conn
 }
 
-// read returns the next update after a revision. It connects if necessary.
-func (c *client) read(ctx context.Context, after uint64) (follow.Update, error) {
-	if c.conn != nil && c.revision != after {
+// read returns the next update after a position. It connects if necessary.
+func (c *client) read(ctx context.Context, after follow.Position) (follow.Update, error) {
+	return c.query(ctx, after, false)
+}
+
+// readStarting is like read, for an instance that has just read the platform for the
+// first time.
+func (c *client) readStarting(ctx context.Context, after follow.Position) (follow.Update, error) {
+	return c.query(ctx, after, true)
+}
+
+func (c *client) query(ctx context.Context, after follow.Position, starting bool) (follow.Update, error) {
+	if c.conn != nil && c.position != after {
 		c.close() // updates from another source were applied in the meantime
 	}
 	if c.conn == nil {
-		if err := c.dial(ctx, after); err != nil {
+		if err := c.dial(ctx, after, starting); err != nil {
 			return follow.Update{}, err
 		}
 	}
@@ -81,7 +92,7 @@
 		c.close()
 		return follow.Update{}, eris.Wrapf(errDeltaBase, "instance %s: base version %d", c.instance.ID, d.Base)
 	}
-	c.revision = u.Revision
+	c.position = u.Position()
 	return u, nil
 }
 
@@ -103,12 +114,25 @@
 	return data, nil
 }
 
-func (c *client) dial(ctx context.Context, after uint64) error {
+func (c *client) dial(ctx context.Context, after follow.Position, starting bool) error {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	url := "ws://" + c.instance.Address.String() + updatesPath +
-		"?after=" + strconv.FormatUint(after, 10) + "&version=" + strconv.FormatUint(c.configVersion(), 10)
-	conn, response, err := websocket.Dial(ctx, url, &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled})
+	query := url.Values{
+		"era":     {strconv.FormatUint(after.Era, 10)},
+		"after":   {strconv.FormatUint(after.Revision, 10)},
+		"version": {strconv.FormatUint(c.configVersion(), 10)},
+	}
+	if starting {
+		query.Set("starting", "true")
+	}
+	options := &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled}
+	base := "ws://" + c.instance.Address.String()
+	conn, response, err := websocket.Dial(ctx, base+updatesPath+"?"+query.Encode(), options)
+	if response != nil && response.StatusCode == http.StatusNotFound && after == (follow.Position{}) {
+		// An instance of a former release can serve its full state, but no changes after
+		// a position.
+		conn, response, err = websocket.Dial(ctx, base+oldUpdatesPath+"?"+query.Encode(), options)
+	}
 	if response != nil && response.StatusCode != http.StatusSwitchingProtocols {
 		err = eris.Errorf("status %d", response.StatusCode)
 	}
@@ -116,7 +140,7 @@
 		return eris.Wrapf(err, "connect to instance %s at %s", c.instance.ID, c.instance.Address)
 	}
 	conn.SetReadLimit(maxMessageBytes)
-	c.conn, c.revision = conn, after
+	c.conn, c.position = conn, after
 	return nil
 }
 
--- a/internal/fanout/server.go
+++ b/internal/fanout/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
 
 	"arbutusdock.example/arbutusdock/internal/follow"
 	"arbutusdock.example/arbutusdock/internal/ids"
@@ -33,8 +34,12 @@
 	// request it at the same time.
 	maxMessageTargets = 1000
 
-	updatesPath   = "/v2/updates"   // WebSocket with CBOR messages: updates after a revision and a configuration version
-	instancesPath = "/v1/instances" // announces an instance and returns the ranking
+	// updatesPath is a WebSocket with CBOR messages: updates after a position and a
+	// configuration version.
+	updatesPath = "/v3/updates"
+	// oldUpdatesPath is the former path, for which eras do not exist.
+	oldUpdatesPath = "/v2/updates"
+	instancesPath  = "/v1/instances" // announces an instance and returns the ranking
 )
 
 // Server serves the state and the directory of this instance to other instances.
@@ -52,19 +57,36 @@
 // Register adds the handlers to mux.
 func (s *Server) Register(mux *http.ServeMux) {
 	mux.HandleFunc("GET "+updatesPath, s.serveUpdates)
+	mux.HandleFunc("GET "+oldUpdatesPath, s.serveUpdates)
 	mux.HandleFunc("GET "+instancesPath, s.serveInstances)
 }
 
-// serveUpdates sends a follower the changes since its revision and version, then
+// parseQuery returns the query of a follower. One without an era gets that of this
+// instance.
+func (s *Server) parseQuery(r *http.Request) (q Query, err error) {
+	values := r.URL.Query()
+	q.Starting = values.Get("starting") == "true"
+	q.After.Era = s.state.Position().Era
+	for name, field := range map[string]*uint64{"era": &q.After.Era, "after": &q.After.Revision, "version": &q.Version} {
+		if name == "era" && !values.Has(name) {
+			continue
+		}
+		if *field, err = strconv.ParseUint(values.Get(name), 10, 64); err != nil {
+			return q, eris.Wrapf(err, "parameter %s", name)
+		}
+	}
+	return q, nil
+}
+
+// serveUpdates sends a follower the changes since its position and version, then
 // every further change, until it disconnects.
 func (s *Server) serveUpdates(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	version, versionErr := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
-	if err != nil || versionErr != nil {
-		http.Error(w, "after must be a revision and version that of a configuration", http.StatusBadRequest)
+	q, err := s.parseQuery(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if _, _, ok := s.state.Since(after, version); !ok {
+	if _, _, ok := s.state.Since(q); !ok {
 		// A follower that waited here would receive the full state as soon as it is
 		// available. When all instances start together, that would be all of them.
 		http.Error(w, "nothing is known yet", http.StatusServiceUnavailable)
@@ -81,16 +103,19 @@
 	heartbeat := time.NewTicker(heartbeatInterval)
 	defer heartbeat.Stop()
 	for {
-		update, changed, _ := s.state.Since(after, version) // cannot fail: a state stays initialized
+		update, changed, _ := s.state.Since(q) // cannot fail: a state stays initialized
 		if err := send(ctx, ws, &update); err != nil {
 			return // the follower logs the loss of its source
 		}
-		after = update.Revision
+		q.Starting = false
+		if p := update.Position(); p.Compare(q.After) > 0 || update.Complete {
+			q.After = p
+		}
 		switch {
 		case update.Config != nil:
-			version = update.Config.Version
+			q.Version = update.Config.Version
 		case update.ConfigDelta != nil:
-			version = update.ConfigDelta.Version
+			q.Version = update.ConfigDelta.Version
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -42,6 +42,12 @@
 	// retried every 0.3 s would exceed the request rate of the platform when it
 	// recovers.
 	staleSourceWait = time.Second
+	// startPeerTimeout bounds the time for which a starting instance that has read the
+	// platform waits for what other instances know beyond that.
+	startPeerTimeout = 300 * time.Millisecond
+	// maxMemoryAge is the age up to which the state of another instance may know what
+	// the platform lost in a restore.
+	maxMemoryAge = 30 * time.Second
 	// hedgeDelay is the time without a response after which the state is also
 	// requested from the next instance.
 	hedgeDelay = 100 * time.Millisecond
@@ -90,10 +96,12 @@
 	outage bool
 	// staleSource is the instance most recently found to be stale.
 	staleSource ids.Instance
-	// lostRevision is the revision after which the platform no longer has the changes.
-	// A state of this revision or older is useless, as the platform cannot provide the
+	// lostPosition is the position after which the platform no longer has the changes.
+	// A state of this position or older is useless, as the platform cannot provide the
 	// changes that follow it.
-	lostRevision uint64
+	lostPosition follow.Position
+	// started is set once a full read has succeeded.
+	started bool
 
 	seedsLost bool // used by Announce only
 
@@ -219,8 +227,57 @@
 // takes too long, it accepts the state of any instance, preferably of the same data
 // centre and regardless of age: an instance cannot serve without a state, and reads
 // the changes made since then afterwards. The read of the platform continues in
-// parallel as long as it makes progress.
+// parallel as long as it makes progress. A starting instance also asks another one
+// what the platform may have lost in a restore.
 func (s *Source) ReadAll(ctx context.Context, timeout time.Duration) (follow.Update, error) {
+	u, source, err := s.readAll(ctx, timeout)
+	if err != nil {
+		return u, err
+	}
+	if !s.started && source == platformName {
+		u, source = s.completeFromPeers(ctx, u)
+	}
+	s.started = true
+	s.setCurrent(source, nil)
+	return u, nil
+}
+
+// completeFromPeers returns what another instance knows beyond a full read of the
+// platform, or u itself if no instance answers or none knows more.
+func (s *Source) completeFromPeers(ctx context.Context, u follow.Update) (follow.Update, string) {
+	ctx, cancel := context.WithTimeout(ctx, startPeerTimeout)
+	defer cancel()
+	version := uint64(0)
+	if u.Config != nil {
+		version = u.Config.Version
+	}
+	results := s.hedgedReads(ctx, func(ctx context.Context, i Instance) (follow.Update, error) {
+		c := client{instance: i, configVersion: func() uint64 { return version }}
+		defer c.close()
+		return c.readStarting(ctx, u.Position())
+	})
+	for result := range results {
+		if result.err != nil {
+			continue // it has no state yet or is unreachable
+		}
+		peer := &result.update
+		switch {
+		case peer.Complete && peer.Age <= maxMemoryAge:
+			return *peer, result.source
+		case peer.Complete:
+			continue
+		case peer.Config != nil:
+			u.Config = peer.Config
+		case peer.ConfigDelta != nil && u.Config != nil:
+			u.Config = applyDelta(u.Config, peer.ConfigDelta)
+		}
+		return u, platformName
+	}
+	return u, platformName
+}
+
+// readAll returns a full state and its source.
+func (s *Source) readAll(ctx context.Context, timeout time.Duration) (follow.Update, string, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // cancels the remaining reads
 	platformResults := make(chan readResult, 1)
@@ -235,21 +292,23 @@
 	case platformResult = <-platformResults:
 		s.config.OnRead(platformName, platformResult.err)
 		if platformResult.err == nil {
-			s.setCurrent(platformName, nil)
-			return platformResult.update, nil
+			return platformResult.update, platformName, nil
 		}
 		platformResults = nil
 	case <-headStart.C:
 	}
-	peerResults := s.hedgedReads(ctx)
+	peerResults := s.hedgedReads(ctx, func(ctx context.Context, i Instance) (follow.Update, error) {
+		c := client{instance: i, configVersion: noVersion}
+		defer c.close()
+		return c.read(ctx, follow.Position{})
+	})
 	for platformResults != nil || peerResults != nil {
 		select {
 		case result := <-platformResults:
 			s.config.OnRead(platformName, result.err)
 			platformResults = nil
 			if result.err == nil {
-				s.setCurrent(platformName, nil)
-				return result.update, nil
+				return result.update, platformName, nil
 			}
 			platformResult = result
 		case result, ok := <-peerResults:
@@ -257,17 +316,16 @@
 				peerResults = nil
 				continue
 			}
-			if result.err == nil && s.lostRevision != 0 && result.update.Revision <= s.lostRevision {
+			if result.err == nil && s.lostPosition.Revision != 0 && result.update.Position().Compare(s.lostPosition) <= 0 {
 				result.err = errStale
 			}
 			s.config.OnRead("instance", result.err)
 			if result.err == nil {
-				s.setCurrent(result.source, nil)
-				return result.update, nil
+				return result.update, result.source, nil
 			}
 		}
 	}
-	return follow.Update{}, platformResult.err
+	return follow.Update{}, "", platformResult.err
 }
 
 // readResult is the result of one of several concurrent reads.
@@ -277,11 +335,11 @@
 	source string
 }
 
-// hedgedReads reads the full state from the instances of the same data centre and
-// then from the seeds in random order. As a state is large, the next read starts only
-// when the previous one has failed or has not completed within hedgeDelay. The channel
-// is closed after the last result, or when ctx ends.
-func (s *Source) hedgedReads(ctx context.Context) <-chan readResult {
+// hedgedReads reads from the instances of the same data centre and then from the seeds
+// in random order. As a state is large, the next read starts only when the previous one
+// has failed or has not completed within hedgeDelay. The channel is closed after the
+// last result, or when ctx ends.
+func (s *Source) hedgedReads(ctx context.Context, read func(context.Context, Instance) (follow.Update, error)) <-chan readResult {
 	candidates := s.startCandidates()
 	results := make(chan readResult, len(candidates))
 	go func() {
@@ -290,9 +348,7 @@
 		for _, i := range candidates {
 			failed := make(chan struct{})
 			reads.Go(func() {
-				c := client{instance: i, configVersion: noVersion}
-				u, err := c.read(ctx, 0)
-				c.close()
+				u, err := read(ctx, i)
 				results <- readResult{u, err, string(i.ID)}
 				if err != nil {
 					close(failed)
@@ -326,7 +382,7 @@
 }
 
 // ReadChanges implements follow.Source.
-func (s *Source) ReadChanges(ctx context.Context, after uint64, wait, timeout time.Duration) (follow.Update, error) {
+func (s *Source) ReadChanges(ctx context.Context, after follow.Position, wait, timeout time.Duration) (follow.Update, error) {
 	if u, ok := s.readPeers(ctx, after); ok {
 		s.outage = false
 		return u, nil
@@ -336,8 +392,8 @@
 	if s.outage = err != nil; s.outage {
 		delete(s.failedAt, s.staleSource) // follow it again until it or the platform recovers
 	}
-	if errors.Is(err, follow.ErrHistoryLost) {
-		s.lostRevision = after
+	if errors.Is(err, follow.ErrHistoryLost) || errors.Is(err, follow.ErrRestored) {
+		s.lostPosition = after
 	}
 	if err == nil {
 		s.setCurrent(platformName, nil)
@@ -347,7 +403,7 @@
 
 // readPeers reads the next update from the first source that is up to date. It returns
 // false if there is none.
-func (s *Source) readPeers(ctx context.Context, after uint64) (follow.Update, bool) {
+func (s *Source) readPeers(ctx context.Context, after follow.Position) (follow.Update, bool) {
 	for _, i := range s.sources() {
 		if time.Since(s.failedAt[i.ID]) < peerRetryInterval {
 			continue
@@ -388,10 +444,14 @@
 // is older than MaxAge. During an outage it first waits up to staleSourceWait for a
 // fresh one: the first instance that reaches the platform again passes the update on,
 // so that the others need not retry the platform.
-func (s *Source) readFresh(ctx context.Context, c *client, after uint64) (follow.Update, error) {
+func (s *Source) readFresh(ctx context.Context, c *client, after follow.Position) (follow.Update, error) {
 	start := time.Now()
 	for {
 		u, err := c.read(ctx, after)
+		if err == nil && u.Era < after.Era {
+			c.close()
+			return u, eris.Wrapf(errStale, "era %d, expected %d", u.Era, after.Era)
+		}
 		if err != nil || u.Age <= s.config.MaxAge {
 			return u, err
 		}
@@ -402,7 +462,7 @@
 		if !s.outage || time.Since(start) >= staleSourceWait {
 			return u, errStale
 		}
-		after = u.Revision
+		after = u.Position()
 	}
 }
 
--- a/internal/fanout/source_test.go
+++ b/internal/fanout/source_test.go
@@ -42,6 +42,8 @@
 type platformStub struct {
 	reads       atomic.Int64
 	revision    atomic.Uint64
+	era         atomic.Uint64
+	config      *passthrough.Config // returned by full reads
 	down        atomic.Bool
 	hang        atomic.Bool
 	historyLost atomic.Bool // returns ErrHistoryLost
@@ -60,10 +62,10 @@
 		case <-time.After(400 * time.Millisecond):
 		}
 	}
-	return p.ReadChanges(context.Background(), 0, 0, 0)
+	return p.ReadChanges(context.Background(), follow.Position{}, 0, 0)
 }
 
-func (p *platformStub) ReadChanges(_ context.Context, after uint64, _, _ time.Duration) (follow.Update, error) {
+func (p *platformStub) ReadChanges(_ context.Context, after follow.Position, _, _ time.Duration) (follow.Update, error) {
 	p.reads.Add(1)
 	if p.down.Load() {
 		return follow.Update{}, eris.New("down")
@@ -71,7 +73,11 @@
 	if p.historyLost.Load() {
 		return follow.Update{}, follow.ErrHistoryLost
 	}
-	return follow.Update{Complete: after == 0, Revision: max(p.revision.Load(), after)}, nil
+	u := follow.Update{Complete: after.Revision == 0, Direct: true, Era: p.era.Load(), Revision: max(p.revision.Load(), after.Revision)}
+	if u.Complete {
+		u.Config = p.config
+	}
+	return u, nil
 }
 
 // node is an instance with its state, directory, source and HTTP server.
@@ -104,7 +110,7 @@
 
 func (n *node) read(t *testing.T, after uint64) follow.Update {
 	t.Helper()
-	u, err := n.source.ReadChanges(context.Background(), after, time.Second, time.Second)
+	u, err := n.source.ReadChanges(context.Background(), follow.Position{Revision: after}, time.Second, time.Second)
 	assert.NilError(t, err)
 	return u
 }
@@ -172,7 +178,7 @@
 	})
 	var err error
 	for start := time.Now(); time.Since(start) < 8*time.Second; {
-		if _, err = n.source.ReadChanges(context.Background(), 7, time.Second, time.Second); err == nil {
+		if _, err = n.source.ReadChanges(context.Background(), follow.Position{Revision: 7}, time.Second, time.Second); err == nil {
 			break
 		}
 		time.Sleep(200 * time.Millisecond) // like the retry delay of follow.Follower
@@ -192,7 +198,7 @@
 	other.state.Apply(&follow.Update{Complete: true, Revision: 7})
 	n.source.setRanking(Ranking{Sources: []Instance{{"o", other.address()}}})
 	n.source.failedAt["o"] = time.Now() // excludes it as a source for now
-	_, err := n.source.ReadChanges(context.Background(), 7, time.Second, time.Second)
+	_, err := n.source.ReadChanges(context.Background(), follow.Position{Revision: 7}, time.Second, time.Second)
 	assert.ErrorIs(t, err, follow.ErrHistoryLost)
 	p.historyLost.Store(false)
 	p.slow.Store(true)
@@ -249,7 +255,7 @@
 	c := client{instance: Instance{"n", netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}, configVersion: noVersion}
 	defer c.close()
 	start := time.Now()
-	got, err := c.read(context.Background(), 0)
+	got, err := c.read(context.Background(), follow.Position{})
 	assert.NilError(t, err)
 	assert.Equal(t, len(got.Targets), targets)
 	assert.Equal(t, len(got.Config.Routes), routes)
--- a/internal/fanout/state.go
+++ b/internal/fanout/state.go
@@ -21,10 +21,12 @@
 // with a log of the latest changes. It is safe for concurrent use.
 type State struct {
 	mu                sync.Mutex
-	revision          uint64
+	position          follow.Position
+	eraBegan          time.Time // zero if the begin of the era was not observed
 	configHistory     configHistory
-	targets           map[string]*follow.Target // absent when removed
-	changes           []change                  // in the order of their revisions
+	targets           map[string]*follow.Target // absent when removed, unless unreadable or held
+	held              int                       // number of held targets
+	changes           []change                  // of the present era, in the order of their revisions
 	compactedRevision uint64                    // changes up to this revision are no longer kept
 	confirmedAt       time.Time                 // when the state was last confirmed to be up to date
 	initialized       bool                      // a full state has been applied
@@ -48,20 +50,21 @@
 	defer s.mu.Unlock()
 	if u.Complete {
 		s.targets = make(map[string]*follow.Target, len(u.Targets))
+		s.held = 0
 		s.changes = s.changes[:0]
 		s.compactedRevision = u.Revision
 		s.initialized = true
 	}
+	s.eraBegan = time.Time{}
+	if u.EraAge > 0 {
+		s.eraBegan = time.Now().Add(-u.EraAge)
+	}
 	if u.Config != nil || u.ConfigDelta != nil {
 		u.Config = s.configHistory.apply(u)
 		u.ConfigDelta = nil
 	}
 	for _, t := range u.Targets {
-		if t.Removed && !t.Unreadable {
-			delete(s.targets, t.Name)
-		} else {
-			s.targets[t.Name] = t
-		}
+		s.put(t)
 		if !u.Complete {
 			s.changes = append(s.changes, change{t.Revision, t.Name})
 		}
@@ -70,8 +73,10 @@
 		s.compactedRevision = s.changes[excess-1].revision
 		s.changes = append(s.changes[:0], s.changes[excess:]...)
 	}
-	advanced := u.Revision > s.revision || u.Complete
-	s.revision = max(s.revision, u.Revision)
+	advanced := u.Position().Compare(s.position) > 0 || u.Complete
+	if advanced {
+		s.position = u.Position()
+	}
 	s.confirmedAt = time.Now().Add(-u.Age)
 	if advanced {
 		close(s.changed)
@@ -79,6 +84,21 @@
 	}
 }
 
+// put replaces the entry of a target.
+func (s *State) put(t *follow.Target) {
+	if old := s.targets[t.Name]; old != nil && old.Held != follow.NotHeld {
+		s.held--
+	}
+	if t.Held != follow.NotHeld {
+		s.held++
+	}
+	if t.Removed && !t.Unreadable && t.Held == follow.NotHeld {
+		delete(s.targets, t.Name)
+		return
+	}
+	s.targets[t.Name] = t
+}
+
 // Version returns the version of the configuration, 0 for none.
 func (s *State) Version() uint64 {
 	s.mu.Lock()
@@ -86,30 +106,60 @@
 	return s.configHistory.version()
 }
 
-// Since returns the changes after a revision for a follower that has the given
-// version of the configuration, or the full state when those changes are no longer
-// kept. next is closed at the next change. ok is false while this instance has no
-// state yet.
-func (s *State) Since(after, version uint64) (u follow.Update, next <-chan struct{}, ok bool) {
+// Position returns the position up to which the state is complete.
+func (s *State) Position() follow.Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.position
+}
+
+// Held returns the number of targets with a record other than the published one.
+func (s *State) Held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held
+}
+
+// Query is what a follower asks for.
+type Query struct {
+	After   follow.Position // position of the follower
+	Version uint64          // version of its configuration, 0 for none
+	// Starting is set by an instance that has read the platform for the first time. It
+	// cannot know of a restore and of what was lost with it.
+	Starting bool
+}
+
+// Since returns the changes after the position of a follower, or the full state when
+// those changes are no longer kept, are of an earlier era, or omit what a starting
+// instance must know. The position of a follower that is ahead does not go back. next
+// is closed at the next change. ok is false while this instance has no state yet.
+func (s *State) Since(q Query) (u follow.Update, next <-chan struct{}, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.initialized {
 		return follow.Update{}, s.changed, false
 	}
-	u.Revision = max(s.revision, after)
+	u.Era, u.Revision = s.position.Era, s.position.Revision
 	u.Age = time.Since(s.confirmedAt)
-	if after < s.compactedRevision {
+	if !s.eraBegan.IsZero() {
+		u.EraAge = max(time.Since(s.eraBegan), 1)
+	}
+	sameEra := q.After.Era == s.position.Era
+	switch {
+	case q.After.Era > s.position.Era && !q.Starting:
+		return u, s.changed, true // behind the follower, which has to look elsewhere
+	case !sameEra || q.After.Revision < s.compactedRevision || q.Starting && s.held > 0:
 		u.Complete = true
-		u.Revision = s.revision
 		u.Config = s.configHistory.config
 		for _, t := range s.targets {
 			u.Targets = append(u.Targets, t)
 		}
 		return u, s.changed, true
 	}
-	s.configHistory.addChanges(version, &u)
+	u.Revision = max(u.Revision, q.After.Revision)
+	s.configHistory.addChanges(q.Version, &u)
 	first := len(s.changes)
-	for first > 0 && s.changes[first-1].revision > after {
+	for first > 0 && s.changes[first-1].revision > q.After.Revision {
 		first--
 	}
 	for _, c := range s.changes[first:] {
--- a/internal/fanout/state_test.go
+++ b/internal/fanout/state_test.go
@@ -18,7 +18,10 @@
 )
 
 // A fixed seed makes the default run reproducible; -rapid.seed overrides it.
-func init() { _ = flag.Set("rapid.seed", "1") }
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "1000")
+}
 
 var discardLog = slog.New(slog.NewTextHandler(io.Discard, nil))
 
@@ -60,7 +63,7 @@
 		}
 		apply(0, follow.Update{Complete: true, Revision: revision})
 		read := func(n int) {
-			if u, _, ok := states[n-1].Since(revisions[n], states[n].Version()); ok {
+			if u, _, ok := states[n-1].Since(Query{After: follow.Position{Revision: revisions[n]}, Version: states[n].Version()}); ok {
 				apply(n, u)
 			}
 		}
@@ -131,11 +134,11 @@
 	s := NewState()
 	s.Apply(&follow.Update{Complete: true, Revision: 5, Config: config(1)})
 	s.Apply(&follow.Update{Revision: 6, Config: config(2)})
-	u, _, _ := s.Since(5, 1)
+	u, _, _ := s.Since(Query{After: follow.Position{Revision: 5}, Version: 1})
 	data, err := cbor.Marshal(&u)
 	assert.NilError(t, err)
 	assert.Assert(t, len(data) < 1200, "%d bytes", len(data))
-	u, _, _ = s.Since(5, 9)
+	u, _, _ = s.Since(Query{After: follow.Position{Revision: 5}, Version: 9})
 	assert.Equal(t, len(u.Config.Routes), 1566, "a follower with a version that was skipped here gets everything")
 }
 
@@ -146,9 +149,9 @@
 	for i := range uint64(maxChanges + 10) {
 		s.Apply(&follow.Update{Revision: i + 2, Targets: []*follow.Target{target("a", i+2, false)}})
 	}
-	u, _, _ := s.Since(5, 0)
+	u, _, _ := s.Since(Query{After: follow.Position{Revision: 5}})
 	assert.Assert(t, u.Complete)
-	u, _, _ = s.Since(20, 0)
+	u, _, _ = s.Since(Query{After: follow.Position{Revision: 20}})
 	assert.Assert(t, !u.Complete)
 	assert.Equal(t, len(u.Targets), 1)
 	assert.Equal(t, len(s.changes), maxChanges)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -22,6 +22,14 @@
 // requested revision, or has too many of them for one response.
 var ErrHistoryLost = eris.New("history of changes is lost")
 
+// ErrRestored is returned by a source that was restored from an older copy since the
+// requested position. Its changes do not follow that position.
+var ErrRestored = eris.New("source was restored from an older copy")
+
+// ErrOutdated is returned for a response of an earlier era than one already seen, or
+// for a full state that lies behind in the same era.
+var ErrOutdated = eris.New("response is older than what is known")
+
 // Target is the published record of a backend server, or its removal.
 type Target struct {
 	Name     string `cbor:"1,keyasint,omitempty"`
@@ -31,6 +39,13 @@
 	// exists but cannot be decoded. The server may be alive.
 	Unreadable bool                     `cbor:"4,keyasint,omitempty"`
 	Record     passthrough.TargetRecord `cbor:"5,keyasint,omitempty"`
+	// Held is set when Record, or Removed, is what was known before a restore of the
+	// platform and not what is published. A held target that is removed has its last
+	// known Record.
+	Held HoldReason `cbor:"6,keyasint,omitempty"`
+	// CopySeq is the number of writes in the record that the restored copy has of a
+	// held target, 0 if it has none.
+	CopySeq int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // InvalidEntry is a published entry that could not be decoded.
@@ -43,6 +58,7 @@
 // Update is the result of one read.
 type Update struct {
 	Complete bool                `cbor:"1,keyasint,omitempty"` // a full read, not only changes
+	Era      uint64              `cbor:"9,keyasint,omitempty"` // era of Revision; 0: not known
 	Revision uint64              `cbor:"2,keyasint,omitempty"` // revision up to which the update is complete
 	Config   *passthrough.Config `cbor:"3,keyasint,omitempty"`
 	Targets  []*Target           `cbor:"4,keyasint,omitempty"` // in the order of their changes; shared, must not be modified
@@ -50,6 +66,12 @@
 	// Age is the time since the state of the source was last confirmed to be up to
 	// date.
 	Age time.Duration `cbor:"5,keyasint,omitempty"`
+	// EraAge is the time since the era began, 0 if its begin was not observed.
+	EraAge time.Duration `cbor:"10,keyasint,omitempty"`
+	// Direct is set on an update that was read from the platform.
+	Direct bool `cbor:"-"`
+	// Restored is set by the Reconciler on the first update of a new era.
+	Restored bool `cbor:"-"`
 	// More is set when further messages of the same update follow. Such a message
 	// contains only targets.
 	More bool `cbor:"8,keyasint,omitempty"`
@@ -61,6 +83,9 @@
 	AfterOutage bool `cbor:"6,keyasint,omitempty"`
 }
 
+// Position returns the position up to which u is complete.
+func (u *Update) Position() Position { return Position{u.Era, u.Revision} }
+
 // ConfigDelta is the difference between a version of the configuration and an earlier
 // one, which need not be the previous version.
 type ConfigDelta struct {
@@ -77,10 +102,10 @@
 type Source interface {
 	// ReadAll reads the complete configuration and all target records.
 	ReadAll(ctx context.Context, timeout time.Duration) (Update, error)
-	// ReadChanges reads the changes after a revision. If there are none, it waits for
+	// ReadChanges reads the changes after a position. If there are none, it waits for
 	// one for at most wait. The error is ErrHistoryLost when the changes are not
-	// available.
-	ReadChanges(ctx context.Context, after uint64, wait, timeout time.Duration) (Update, error)
+	// available, and ErrRestored when a new era has begun.
+	ReadChanges(ctx context.Context, after Position, wait, timeout time.Duration) (Update, error)
 }
 
 // Timing holds the timing parameters of the reads.
@@ -118,21 +143,22 @@
 	timing      Timing
 	deliver     func(Update)
 	log         *slog.Logger
-	revision    uint64 // revision of the last update
-	synced      bool   // a full read has succeeded and its history is still available
+	reconciler  *Reconciler
+	synced      bool // a full read has succeeded and its history is still available
+	direct      bool // the last update was read from the platform
 	failures    int
 	outageStart time.Time
-	revisions   map[string]uint64 // last delivered revision by target
 }
 
 // New returns a follower that passes each update to deliver. deliver may block.
 func New(source Source, timing Timing, deliver func(Update), log *slog.Logger) *Follower {
-	return &Follower{source: source, timing: timing, deliver: deliver, log: log, revisions: map[string]uint64{}}
+	return &Follower{source: source, timing: timing, deliver: deliver, log: log, reconciler: NewReconciler()}
 }
 
 // Run reads until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		f.expire()
 		update, err := f.read(ctx)
 		if ctx.Err() != nil {
 			return
@@ -141,30 +167,42 @@
 			f.handleFailure(ctx, err)
 			continue
 		}
-		f.handleUpdate(&update)
+		f.handleUpdate(ctx, &update)
+	}
+}
+
+// expire delivers the removals that are due because of a restore.
+func (f *Follower) expire() {
+	if u := f.reconciler.Expire(time.Now()); u != nil {
+		f.log.Warn("restored-targets-expired", "targets", len(u.Targets), "era", u.Era, "revision", u.Revision)
+		f.deliver(*u)
 	}
 }
 
 func (f *Follower) read(ctx context.Context) (Update, error) {
-	if !f.synced {
+	if !f.synced || f.direct && f.reconciler.RereadDue(time.Now()) {
 		return f.source.ReadAll(ctx, f.timing.Timeout)
 	}
 	wait := f.timing.Wait
+	if due, ok := f.reconciler.NextExpiry(time.Now()); ok {
+		wait = min(wait, due)
+	}
 	if f.failures > 0 {
 		wait = 0 // detect the end of an outage without waiting for a change
 	}
-	return f.source.ReadChanges(ctx, f.revision, wait, wait+f.timing.Timeout)
+	return f.source.ReadChanges(ctx, f.reconciler.Position(), wait, wait+f.timing.Timeout)
 }
 
 func (f *Follower) handleFailure(ctx context.Context, err error) {
-	if errors.Is(err, ErrHistoryLost) {
-		f.log.Warn("platform-history-lost", "revision", f.revision, "error", err)
+	at := f.reconciler.Position()
+	if errors.Is(err, ErrHistoryLost) || errors.Is(err, ErrRestored) {
+		f.log.Warn("platform-history-lost", "era", at.Era, "revision", at.Revision, "error", err)
 		f.synced = false
 		return
 	}
 	if f.failures == 0 {
 		f.outageStart = time.Now()
-		f.log.Warn("platform-lost", "revision", f.revision, "error", err)
+		f.log.Warn("platform-lost", "era", at.Era, "revision", at.Revision, "error", err)
 	}
 	f.failures++
 	delay := min(f.timing.RetryMin<<min(f.failures-1, 8), f.timing.RetryMax)
@@ -172,37 +210,28 @@
 	sleep(ctx, delay/2+time.Duration(rand.Int64N(int64(delay))))
 }
 
-func (f *Follower) handleUpdate(u *Update) {
+func (f *Follower) handleUpdate(ctx context.Context, u *Update) {
+	before := f.reconciler.Position()
+	if !f.reconciler.Apply(time.Now(), u) {
+		f.handleFailure(ctx, eris.Wrapf(ErrOutdated, "era %d, revision %d, expected at least %d, %d", u.Era, u.Revision, before.Era, before.Revision))
+		return
+	}
 	if f.failures > 0 {
-		f.log.Info("platform-regained", "revision", u.Revision, "failures", f.failures, "outage", time.Since(f.outageStart))
+		f.log.Info("platform-regained", "era", u.Era, "revision", u.Revision, "failures", f.failures, "outage", time.Since(f.outageStart))
 		u.AfterOutage = true
 	}
 	f.failures = 0
+	if u.Restored {
+		f.log.Warn("platform-restored", "old_era", before.Era, "old_revision", before.Revision, "era", u.Era, "revision", u.Revision,
+			"held_targets", f.reconciler.Held())
+	}
 	for _, i := range u.Invalid {
 		f.log.Warn("entry-invalid", "key", i.Key, "revision", i.Revision, "error", i.Err)
 	}
-	u.Targets = f.dropOutdated(u)
-	f.synced = true
-	f.revision = u.Revision
+	f.synced, f.direct = true, u.Direct
 	f.deliver(*u)
 }
 
-// dropOutdated returns the targets of u without those older than the revision already
-// delivered. The pages of a full read and the changes after it overlap.
-func (f *Follower) dropOutdated(u *Update) []*Target {
-	if u.Complete {
-		clear(f.revisions)
-	}
-	kept := u.Targets[:0]
-	for _, t := range u.Targets {
-		if t.Revision >= f.revisions[t.Name] {
-			f.revisions[t.Name] = t.Revision
-			kept = append(kept, t)
-		}
-	}
-	return kept
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -44,9 +44,9 @@
 	return s.next(ctx, "all", 0)
 }
 
-func (s *scriptedSource) ReadChanges(ctx context.Context, after uint64, wait, _ time.Duration) (Update, error) {
+func (s *scriptedSource) ReadChanges(ctx context.Context, after Position, wait, _ time.Duration) (Update, error) {
 	s.waits = append(s.waits, wait)
-	return s.next(ctx, "changes", after)
+	return s.next(ctx, "changes", after.Revision)
 }
 
 func runFollower(t *testing.T, responses ...response) (*scriptedSource, []Update) {
@@ -119,7 +119,7 @@
 	p := Paced(s, 30*time.Millisecond)
 	start := time.Now()
 	for range 4 {
-		_, err := p.ReadChanges(context.Background(), 0, 0, 0)
+		_, err := p.ReadChanges(context.Background(), Position{}, 0, 0)
 		assert.NilError(t, err)
 	}
 	assert.Assert(t, time.Since(start) >= 90*time.Millisecond)
--- a/internal/follow/paced.go
+++ b/internal/follow/paced.go
@@ -19,7 +19,7 @@
 }
 
 // ReadChanges implements Source.
-func (p *paced) ReadChanges(ctx context.Context, after uint64, wait, timeout time.Duration) (Update, error) {
+func (p *paced) ReadChanges(ctx context.Context, after Position, wait, timeout time.Duration) (Update, error) {
 	sleep(ctx, p.interval-time.Since(p.lastRead))
 	p.lastRead = time.Now()
 	return p.Source.ReadChanges(ctx, after, wait, timeout)
--- /dev/null
+++ b/internal/follow/reconcile.go
@@ -0,0 +1,349 @@
+package follow
+
+import "time"
+
+const (
+	// rewriteTime is the time after a restore within which a live target has published
+	// its record again.
+	rewriteTime = 2 * time.Second
+	// rereadDelay is the time after a restore at which all records are read again.
+	// Targets that the restored copy lists although they were known to be gone have
+	// published at least once more by then if they are alive: a record in which only
+	// the number of writes differs causes no change event.
+	rereadDelay = rewriteTime + time.Second
+	// removalMemory is the time for which a removed target is remembered. It exceeds
+	// the age of a copy from which the platform may be restored.
+	removalMemory = 60 * time.Second
+)
+
+// HoldReason says why a target is delivered with a record other than the published one.
+type HoldReason uint8
+
+// Reasons to hold a record.
+const (
+	NotHeld     HoldReason = iota
+	HeldMissing            // the restored copy does not have the record yet
+	HeldNewer              // the restored copy has an older record
+)
+
+// Reconciler merges what is read with what is known. Within an era, revisions order the
+// records. A restore takes the platform back in time, which is no news about a target:
+//
+//   - A record in the restored copy replaces a known one only if the target itself
+//     published it later, by its start time and its number of writes.
+//   - A target known to be gone stays gone until it publishes again or under another name.
+//   - A known target without a record keeps its record for rewriteTime.
+//   - The version of the configuration never decreases.
+//
+// Reconciler performs no I/O and reads no clock. It is not safe for concurrent use.
+type Reconciler struct {
+	position      Position
+	configVersion uint64
+	known         map[string]*knowledge
+	removals      []removal // in order of time
+	eraBegan      time.Time // zero in the era in which the reconciler started
+	missing       int       // targets held as HeldMissing
+	rereadDue     bool      // a held record can be resolved only by another full read
+}
+
+// knowledge is what is known about one target.
+type knowledge struct {
+	target *Target // as last delivered
+	// lastWrite is the latest write by the target itself that is known.
+	lastWrite write
+	// copied is the write that the restored copy has; valid if inCopy is set.
+	copied write
+	inCopy bool
+}
+
+type removal struct {
+	name string
+	at   time.Time
+}
+
+// write identifies one write of a target: the start of its incarnation and the number
+// of writes since then.
+type write struct{ startedAt, seq int64 }
+
+func writeOf(t *Target) write { return write{t.Record.StartedAt, t.Record.Seq} }
+
+// after reports whether w is later than o.
+func (w write) after(o write) bool {
+	return w.startedAt > o.startedAt || w.startedAt == o.startedAt && w.seq > o.seq
+}
+
+// NewReconciler returns a reconciler that knows nothing.
+func NewReconciler() *Reconciler { return &Reconciler{known: map[string]*knowledge{}} }
+
+// Position returns the position of the last update.
+func (r *Reconciler) Position() Position { return r.position }
+
+// Held returns the number of targets whose published record is not used.
+func (r *Reconciler) Held() (n int) {
+	for _, k := range r.known {
+		if k.target.Held != NotHeld {
+			n++
+		}
+	}
+	return n
+}
+
+// Apply changes an update into the one to deliver. It returns false, and u must be
+// discarded, if u belongs to an earlier era than the one already seen, or is a full state
+// that lies behind in the same era.
+func (r *Reconciler) Apply(now time.Time, u *Update) bool {
+	if u.Era == 0 {
+		u.Era = r.position.Era
+	}
+	if u.Era < r.position.Era || u.Complete && u.Era != 0 && u.Position().Compare(r.position) < 0 {
+		return false
+	}
+	u.Restored = r.position.Era != 0 && u.Era > r.position.Era
+	if u.Restored {
+		r.eraBegan = now.Add(-u.EraAge)
+		r.rereadDue = false
+		for _, k := range r.known {
+			k.inCopy = false
+		}
+	} else if u.EraAge > 0 && r.eraBegan.IsZero() {
+		r.eraBegan = now.Add(-u.EraAge)
+	}
+	if !r.eraBegan.IsZero() {
+		u.EraAge = max(now.Sub(r.eraBegan), 1)
+	}
+	r.applyConfig(u)
+	r.forgetRemovals(now)
+	if u.Complete {
+		r.applyComplete(now, u)
+	} else {
+		r.applyChanges(now, u)
+	}
+	r.position = u.Position()
+	return true
+}
+
+// applyConfig removes a configuration that is not newer than the known one from u.
+func (r *Reconciler) applyConfig(u *Update) {
+	if u.Config != nil && u.Config.Version <= r.configVersion {
+		u.Config = nil
+	}
+	if u.ConfigDelta != nil && u.ConfigDelta.Version <= r.configVersion {
+		u.ConfigDelta = nil
+	}
+	switch {
+	case u.Config != nil:
+		r.configVersion = u.Config.Version
+	case u.ConfigDelta != nil:
+		r.configVersion = u.ConfigDelta.Version
+	}
+}
+
+// applyChanges reconciles the targets of u, which are in the order of their changes.
+func (r *Reconciler) applyChanges(now time.Time, u *Update) {
+	kept := u.Targets[:0]
+	for _, t := range u.Targets {
+		k := r.known[t.Name]
+		if k != nil && t.Revision < k.target.Revision {
+			continue // the pages of a full read and the changes after it overlap
+		}
+		kept = append(kept, r.merge(now, k, t, k != nil && k.target.Held != NotHeld))
+	}
+	u.Targets = kept
+}
+
+// applyComplete reconciles a full list of targets and adds the held ones to it.
+func (r *Reconciler) applyComplete(now time.Time, u *Update) {
+	listed := make(map[string]bool, len(u.Targets))
+	for i, t := range u.Targets {
+		listed[t.Name] = true
+		k := r.known[t.Name]
+		held := k != nil && (u.Restored || k.target.Held != NotHeld)
+		u.Targets[i] = r.merge(now, k, t, held)
+	}
+	rewritten := now.Sub(r.eraBegan) >= rewriteTime
+	for name, k := range r.known {
+		switch {
+		case listed[name]:
+		case k.target.Removed:
+			if u.Restored || k.target.Held != NotHeld {
+				gone := *k.target // its revision may be of an earlier era
+				gone.Revision, gone.Held, gone.CopySeq = u.Revision, NotHeld, 0
+				r.setTarget(k, &gone)
+			}
+		case !rewritten && (u.Restored || k.target.Held == HeldMissing):
+			u.Targets = append(u.Targets, r.hold(k, u.Revision, HeldMissing))
+		default:
+			r.remove(now, k, &Target{Name: name, Revision: u.Revision, Removed: true})
+		}
+	}
+	r.releaseReusedAddresses(now, u)
+}
+
+// merge decides between the known record k, which may be nil, and the published record
+// t. held is set if t may be older than k although its revision is higher: k is of an
+// earlier era.
+func (r *Reconciler) merge(now time.Time, k *knowledge, t *Target, held bool) *Target {
+	published := writeOf(t)
+	switch {
+	case k == nil || !held && t.Held == NotHeld:
+		return r.accept(now, k, t)
+	case !held && t.Held == HeldMissing:
+		// It was published in this era and is missing now, so it has been removed.
+		return r.remove(now, k, &Target{Name: t.Name, Revision: t.Revision, Removed: true})
+	case t.Held != NotHeld:
+		// Another instance holds t: it knows of it what this one knows of k.
+		outdated := k.lastWrite.after(published) || k.lastWrite == published && k.target.Removed && !t.Removed
+		if !outdated {
+			return r.accept(now, k, t)
+		}
+		return r.hold(k, t.Revision, t.Held)
+	case t.Removed:
+		return r.accept(now, k, t)
+	}
+	switch {
+	case published.startedAt > k.lastWrite.startedAt:
+	case published.startedAt < k.lastWrite.startedAt:
+		return r.hold(k, t.Revision, HeldNewer)
+	case k.target.Removed && (!k.inCopy || !published.after(k.copied)):
+		if !k.inCopy {
+			k.copied, k.inCopy = published, true
+			r.rereadDue = true
+		}
+		return r.hold(k, t.Revision, HeldNewer)
+	case !k.target.Removed && k.lastWrite.after(published):
+		return r.hold(k, t.Revision, HeldNewer)
+	}
+	return r.accept(now, k, t)
+}
+
+// accept makes t the known record of its target.
+func (r *Reconciler) accept(now time.Time, k *knowledge, t *Target) *Target {
+	if t.Removed {
+		return r.remove(now, k, t)
+	}
+	if k == nil {
+		k = &knowledge{}
+		r.known[t.Name] = k
+	}
+	r.setTarget(k, t)
+	k.lastWrite = writeOf(t)
+	if t.Held == NotHeld {
+		k.inCopy = false
+	}
+	return t
+}
+
+// remove records that a target is gone. It keeps the last known write in the record, for
+// instances that learn of the target from this one.
+func (r *Reconciler) remove(now time.Time, k *knowledge, t *Target) *Target {
+	if k == nil {
+		k = &knowledge{lastWrite: writeOf(t)}
+		r.known[t.Name] = k
+		if t.CopySeq != 0 {
+			k.copied, k.inCopy = write{t.Record.StartedAt, t.CopySeq}, true
+		}
+	}
+	if k.target == nil || !k.target.Removed {
+		r.removals = append(r.removals, removal{t.Name, now})
+	}
+	if k.target != nil && t.Record.Name == "" {
+		gone := *t
+		gone.Record = k.target.Record
+		t = &gone
+	}
+	r.setTarget(k, t)
+	return t
+}
+
+// hold delivers the known record with the revision of the published one.
+func (r *Reconciler) hold(k *knowledge, revision uint64, reason HoldReason) *Target {
+	t := *k.target
+	t.Revision, t.Held, t.CopySeq = revision, reason, 0
+	if k.inCopy {
+		t.CopySeq = k.copied.seq
+	}
+	r.setTarget(k, &t)
+	return &t
+}
+
+func (r *Reconciler) setTarget(k *knowledge, t *Target) {
+	if k.target != nil && k.target.Held == HeldMissing {
+		r.missing--
+	}
+	if t.Held == HeldMissing {
+		r.missing++
+	}
+	k.target = t
+}
+
+// releaseReusedAddresses removes the missing targets at whose address another one has
+// started since: they have stopped.
+func (r *Reconciler) releaseReusedAddresses(now time.Time, u *Update) {
+	if r.missing == 0 {
+		return
+	}
+	startedAt := map[string]int64{}
+	for _, t := range u.Targets {
+		if !t.Removed {
+			address := t.Record.Address.String()
+			startedAt[address] = max(startedAt[address], t.Record.StartedAt)
+		}
+	}
+	for i, t := range u.Targets {
+		if t.Held == HeldMissing && startedAt[t.Record.Address.String()] > t.Record.StartedAt {
+			u.Targets[i] = r.remove(now, r.known[t.Name], &Target{Name: t.Name, Revision: u.Revision, Removed: true})
+		}
+	}
+}
+
+// Expire returns an update that removes the targets that have not published their
+// record within rewriteTime after a restore, or nil if there are none.
+func (r *Reconciler) Expire(now time.Time) *Update {
+	if r.missing == 0 || now.Sub(r.eraBegan) < rewriteTime {
+		return nil
+	}
+	u := &Update{Era: r.position.Era, Revision: r.position.Revision, EraAge: now.Sub(r.eraBegan)}
+	for name, k := range r.known {
+		if k.target.Held == HeldMissing {
+			u.Targets = append(u.Targets, r.remove(now, k, &Target{Name: name, Revision: u.Revision, Removed: true}))
+		}
+	}
+	return u
+}
+
+// RereadDue reports whether all records should be read from the platform again because
+// of a restore. It returns true once.
+func (r *Reconciler) RereadDue(now time.Time) bool {
+	if !r.rereadDue || now.Sub(r.eraBegan) < rereadDelay {
+		return false
+	}
+	r.rereadDue = false
+	return true
+}
+
+// NextExpiry returns the time until Expire has something to do, or false if it has
+// nothing.
+func (r *Reconciler) NextExpiry(now time.Time) (time.Duration, bool) {
+	return max(r.eraBegan.Add(rewriteTime).Sub(now), 0), r.missing > 0
+}
+
+// forgetRemovals forgets the targets that were removed long ago.
+func (r *Reconciler) forgetRemovals(now time.Time) {
+	for len(r.removals) > 0 && now.Sub(r.removals[0].at) >= removalMemory {
+		name := r.removals[0].name
+		r.removals = r.removals[1:]
+		if k := r.known[name]; k != nil && k.target.Removed && !r.removedLater(name) {
+			delete(r.known, name)
+		}
+	}
+}
+
+// removedLater reports whether a later removal of the same target is recorded.
+func (r *Reconciler) removedLater(name string) bool {
+	for i := range r.removals {
+		if r.removals[i].name == name {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/forwarder/admin.go
+++ b/internal/forwarder/admin.go
@@ -25,6 +25,8 @@
 	Serving    bool
 	NewsAge    time.Duration // time since the state was last confirmed to be up to date
 	Source     string        // where updates are read: "platform", the ID of an instance or "none"
+	Era        uint64        // number of times that the platform was restored, as it reports; 0: not reported
+	Revision   uint64        // revision of the platform up to which the state is complete
 	passthrough.Snapshot
 }
 
@@ -83,6 +85,8 @@
 
 func (f *Forwarder) serveState(w http.ResponseWriter, r *http.Request) {
 	s := State{Instance: f.settings.Instance, DataCentre: f.settings.DataCentre, Serving: f.serving(), Source: f.sourceName()}
+	position := f.state.Position()
+	s.Era, s.Revision = position.Era, position.Revision
 	if !f.snapshot(r.Context(), &s) {
 		http.Error(w, "the instance did not respond in time", http.StatusServiceUnavailable)
 		return
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -184,6 +184,9 @@
 func (f *Forwarder) deliver(ctx context.Context) func(follow.Update) {
 	return func(u follow.Update) {
 		f.state.Apply(&u)
+		if u.Restored {
+			f.metrics.restores.Inc()
+		}
 		f.submit(ctx, func() { f.apply(&u) })
 	}
 }
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"regexp"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -250,6 +251,74 @@
 	assert.Assert(t, changed.MatchString(joining.log.String()), "its first source is an instance: %s", joining.log)
 }
 
+// Guards against a restore of the platform from an older copy that brings back a dropped
+// route or a target that has left, that loses a new target and its flows, or after which
+// what is written with revisions given out again is not noticed; on instances that run,
+// and on one that starts right after the restore.
+func TestRestoredPlatform(t *testing.T) {
+	f := newFleet(t, 2)
+	f.store.Copy()
+	f.store.PutConfig(7, platformtest.Route{IP: counterAddress.Addr().String(), Port: int(counterAddress.Port()), Service: "counter", Kind: "unsafe"})
+	fresh, err := platformtest.NewTarget(0x180, "counter", "a", f.port)
+	assert.NilError(t, err)
+	t.Cleanup(fresh.Close)
+	f.targets = append(f.targets, fresh)
+	f.store.PutTarget(fresh, "ready")
+	f.store.PutTarget(f.targets[0], "draining")
+	f.store.PutTarget(f.targets[1], "draining")
+	f.store.DeleteTarget(f.targets[1])
+	f.settled(7, 0x180)
+	flow, err := f.caller.Open(counterAddress)
+	assert.NilError(t, err)
+	answer, err := flow.Request([]byte("before"), time.Second)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(answer), fresh.ID), "the only target: %s", answer)
+
+	f.store.Refuse(http.StatusServiceUnavailable)
+	time.Sleep(200 * time.Millisecond)
+	f.store.Restore()
+	f.store.Refuse(0)
+	f.start()
+	for n, i := range f.instances {
+		f.receiver.Store(i)
+		f.eventually(func() bool { return i.state.Position().Era == 2 }, "the restore is noticed")
+		_, err := f.request(slipsAddress, "x")
+		assert.ErrorIs(t, err, platformtest.ErrReset, "instance %d serves the route that was dropped", n)
+		answer, err := f.request(counterAddress, fmt.Sprint("after-", n))
+		assert.NilError(t, err)
+		assert.Assert(t, strings.Contains(answer, fresh.ID), "instance %d: %s", n, answer)
+		_, err = flow.Request([]byte(fmt.Sprint("flow-", n)), time.Second)
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, strings.Contains(f.instances[0].log.String()+f.instances[1].log.String(), "msg=platform-restored"))
+
+	f.putConfig(8)
+	f.store.PutTarget(fresh, "ready")
+	f.store.PutTarget(f.targets[0], "draining")
+	f.settled(8, 0x180)
+	time.Sleep(2500 * time.Millisecond) // until what has not written again counts as gone
+	for n, i := range f.instances {
+		f.receiver.Store(i)
+		answer, err := f.request(counterAddress, fmt.Sprint("end-", n))
+		assert.NilError(t, err)
+		assert.Assert(t, strings.Contains(answer, fresh.ID), "instance %d: %s", n, answer)
+	}
+	f.checkTargets()
+}
+
+// settled waits until every instance has a version of the configuration and the target
+// with the given number.
+func (f *fleet) settled(version uint64, target uint32) {
+	f.t.Helper()
+	name := fmt.Sprintf("i-%08x", target)
+	for _, i := range f.instances {
+		f.eventually(func() bool {
+			var s State
+			return i.snapshot(context.Background(), &s) && s.Version == version && slices.ContainsFunc(s.Targets, func(t passthrough.TargetState) bool { return t.Name == name })
+		}, "the state is up to date")
+	}
+}
+
 // Guards against a configuration that does not take effect after the platform has lost
 // its history of changes, and against existing flows that break then.
 func TestConfigAfterLostHistory(t *testing.T) {
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -12,7 +12,7 @@
 type metrics struct {
 	registry                                 *prometheus.Registry
 	malformed, readErrors, writeErrors       prometheus.Counter
-	suspected, trusted, lapsed               prometheus.Counter
+	suspected, trusted, lapsed, restores     prometheus.Counter
 	packets                                  [passthrough.NumReasons]prometheus.Counter
 	adopted, repeatedData                    prometheus.Counter
 	forwardingTime, openingTime, requestTime prometheus.Histogram
@@ -42,6 +42,7 @@
 	m.suspected = counter("targets_suspected_total", "Times that a target was suspected.")
 	m.trusted = counter("targets_trusted_total", "Times that a suspected target showed that it is alive.")
 	m.lapsed = counter("targets_lapsed_total", "Records missing after an outage of the platform.")
+	m.restores = counter("platform_restores_total", "Times that the platform was restored from an older copy.")
 	m.adopted = counter("flows_adopted_total", "Flows that came from another instance.")
 	m.repeatedData = counter("repeated_data_packets_total", "Packets with request data that the caller repeats.")
 	packets := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "arbutusdock_packets_total", Help: "Packets of callers by the input that decided."}, []string{"reason"})
@@ -72,6 +73,8 @@
 		}
 		return 0
 	})
+	gaugeFunc("platform_era", "Era of the platform's history, 0 if it reports none.", func() float64 { return float64(f.state.Position().Era) })
+	gaugeFunc("targets_held", "Targets whose record is kept although a restored platform has an older one or none.", func() float64 { return float64(f.state.Held()) })
 	gaugeFunc("log_lines_dropped", "Log lines lost since nobody read them.", func() float64 { return float64(f.logWriter.Stats().Dropped) })
 	gaugeFunc("commands_dropped", "Updates that found the ring full; they are repeated.", func() float64 { return float64(f.commands.Stats().Dropped) })
 	return m
--- a/internal/httpget/httpget.go
+++ b/internal/httpget/httpget.go
@@ -70,6 +70,12 @@
 // ErrTooLarge for a response above the size limit, or the error of the connection or
 // the decoder. All but ErrTooLarge name the server.
 func (c *Client) Get(ctx context.Context, path string, timeout time.Duration, body any) error {
+	return c.GetWithHeader(ctx, path, timeout, body, func(http.Header) {})
+}
+
+// GetWithHeader is like Get and passes the header of the response to header, whatever
+// its status is.
+func (c *Client) GetWithHeader(ctx context.Context, path string, timeout time.Duration, body any, header func(http.Header)) error {
 	ctx, monitor, stop := progress.Watch(ctx, timeout)
 	defer stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
@@ -81,6 +87,7 @@
 		return eris.Wrapf(err, "read from %s", c.base)
 	}
 	defer func() { _ = response.Body.Close() }() // the body has been read or is discarded
+	header(response.Header)
 	if response.StatusCode != http.StatusOK {
 		return eris.Wrapf(&StatusError{response.StatusCode}, "read from %s", c.base)
 	}
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -16,8 +16,9 @@
 	DataCentre ids.DataCentre `cbor:"5,keyasint,omitempty"`
 	Slots      int            `cbor:"6,keyasint,omitempty"` // number of requests that it runs concurrently
 	Draining   bool           `cbor:"7,keyasint,omitempty"`
-	SlowStart  time.Duration  `cbor:"8,keyasint,omitempty"` // remaining time of its slow start
-	StartedAt  int64          `cbor:"9,keyasint,omitempty"` // start time of this incarnation in Unix milliseconds; 0 if not published
+	SlowStart  time.Duration  `cbor:"8,keyasint,omitempty"`  // remaining time of its slow start
+	StartedAt  int64          `cbor:"9,keyasint,omitempty"`  // start time of this incarnation in Unix milliseconds; 0 if not published
+	Seq        int64          `cbor:"10,keyasint,omitempty"` // number of times that this incarnation has published its record
 }
 
 // target is the state of one incarnation of a backend server.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -10,8 +10,11 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -56,6 +59,7 @@
 	drainedAt      time.Time // when the store accepted its draining state; zero before
 	disturbedUntil time.Time // end of the last disturbance; after the end of the run once it is closed
 	removedAt      time.Time // when a crashed server was deleted from the store
+	published      string    // state that it last wrote to the store; empty once it is deleted
 }
 
 // soak is one soak run: a fleet, its backend servers and callers, and the results.
@@ -200,16 +204,35 @@
 	s.mu.Lock()
 	s.servers[target.ID] = sv
 	s.mu.Unlock()
-	s.store.PutTarget(target, "ready")
+	s.publishServer(sv, "ready")
 	return sv
 }
 
+// publishServer writes the state of a server to the store, or deletes its entry if the
+// state is empty.
+func (s *soak) publishServer(sv *server, state string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sv.published = state
+	if state == "" {
+		s.store.DeleteTarget(sv.Target)
+		return
+	}
+	s.store.PutTarget(sv.Target, state)
+}
+
 // publish writes the next version of the configuration to the store.
 func (s *soak) publish() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.latestVersion++
-	version := s.latestVersion
-	s.mu.Unlock()
+	s.acknowledgedAt[s.latestVersion] = time.Now()
+	s.publishVersion(s.latestVersion)
+}
+
+// publishVersion writes a version of the configuration to the store; the caller holds
+// s.mu.
+func (s *soak) publishVersion(version int) {
 	routes := []platformtest.Route{}
 	for _, svc := range services {
 		routes = append(routes, platformtest.Route{IP: svc.address.Addr().String(), Port: int(svc.address.Port()), Service: svc.name, Kind: svc.kind})
@@ -217,9 +240,6 @@
 	at := versionRouteAddress(version)
 	routes = append(routes, platformtest.Route{IP: at.Addr().String(), Port: int(at.Port()), Service: "slips", Kind: "safe"})
 	s.store.PutConfig(version, routes...)
-	s.mu.Lock()
-	s.acknowledgedAt[version] = time.Now()
-	s.mu.Unlock()
 }
 
 // disturbServer marks a server as disturbed for d from now on.
@@ -255,6 +275,7 @@
 	var pending sync.WaitGroup
 	defer pending.Wait()
 	stop := time.Now().Add(length)
+	pending.Go(func() { s.restoreStore(stop) })
 	for time.Now().Before(stop) {
 		time.Sleep(time.Duration(50+s.faultRNG.IntN(800)) * time.Millisecond)
 		i := s.instances[s.faultRNG.IntN(len(s.instances))]
@@ -375,14 +396,14 @@
 // drain starts a replacement of a server, drains the server and closes it.
 func (s *soak) drain(sv *server) {
 	s.addServer(sv.Service, sv.DataCentre)
-	s.store.PutTarget(sv.Target, "draining")
+	s.publishServer(sv, "draining")
 	sv.Drain()
 	s.mu.Lock()
 	sv.drainedAt = time.Now()
 	s.mu.Unlock()
 	time.Sleep(drainServeTime + applyWithin)
 	s.disturbServer(sv, beyondRun)
-	s.store.DeleteTarget(sv.Target)
+	s.publishServer(sv, "")
 	sv.Close()
 }
 
@@ -402,12 +423,67 @@
 	sv.Close()
 	s.addServer(sv.Service, sv.DataCentre)
 	time.Sleep(2300 * time.Millisecond) // the time of three missed heartbeats
-	s.store.DeleteTarget(sv.Target)
+	s.publishServer(sv, "")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sv.removedAt = time.Now()
 }
 
+// restoreStore takes copies of the store and restores it from them after a short outage,
+// until stop, while other faults go on. Afterwards everyone writes again: the operator
+// and the servers that live within rewriteTime; the entries of the others lapse.
+func (s *soak) restoreStore(stop time.Time) {
+	rng := rand.New(rand.NewPCG(s.seed, 2))
+	pause := func(least, spread time.Duration) { time.Sleep(least + rand.N(spread)) }
+	for {
+		time.Sleep(time.Duration(1+rng.IntN(5)) * time.Second)
+		if time.Now().After(stop) {
+			return
+		}
+		s.store.Copy()
+		time.Sleep(time.Duration(rng.IntN(3000)) * time.Millisecond)
+		const outage, rewriteTime, lapseTime = 300 * time.Millisecond, 1500 * time.Millisecond, 2300 * time.Millisecond
+		for _, i := range s.instances {
+			s.disturb(i, outage+lapseTime)
+		}
+		s.store.Refuse(http.StatusServiceUnavailable)
+		time.Sleep(outage)
+		s.mu.Lock()
+		s.store.Restore()
+		s.store.Refuse(0)
+		servers := slices.Collect(maps.Values(s.servers))
+		s.mu.Unlock()
+		var writers sync.WaitGroup
+		writers.Go(func() {
+			pause(0, rewriteTime)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.publishVersion(s.latestVersion)
+		})
+		for _, sv := range servers {
+			writers.Go(func() {
+				pause(0, rewriteTime)
+				if !s.publishAgain(sv) {
+					time.Sleep(lapseTime - rewriteTime)
+					s.publishServer(sv, "")
+				}
+			})
+		}
+		writers.Wait()
+	}
+}
+
+// publishAgain writes the state of a server once more. It returns false if the server
+// has left.
+func (s *soak) publishAgain(sv *server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sv.published != "" {
+		s.store.PutTarget(sv.Target, sv.published)
+	}
+	return sv.published != ""
+}
+
 // dropDatagrams drops 5% of the callers' datagrams for d.
 func (s *soak) dropDatagrams(d time.Duration) {
 	for _, i := range s.instances {
