--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -120,6 +120,24 @@
 	assert.Equal(t, v.WastedExecutions, 0)
 }
 
+// Guards against the rejection of a request that was sent once, when an instance of an
+// overloaded data centre pauses for longer than ACK_TIMEOUT: the callers send copies of
+// its requests to the others, which reject them, and it runs what it has when it resumes.
+// On a machine that is busy enough, TestOverload does the same.
+func TestOverloadWithPause(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t)
+	verdict := f.startLoadWith(caller.Options{Duration: 5 * time.Second, AckTimeout: 2 * time.Second}, overloadRequestRate)
+	time.Sleep(2 * time.Second)
+	f.recordEvent(report.Kill) // until it resumes, a paused instance has the effect of a killed one
+	f.signal("dc1-2", syscall.SIGSTOP)
+	time.Sleep(2500 * time.Millisecond)
+	f.signal("dc1-2", syscall.SIGCONT)
+	v := verdict()
+	assertInvariants(t, v)
+	assert.Equal(t, v.WastedExecutions, 0)
+}
+
 func (f *fleet) targetCounts(name string) wire.TargetCounts {
 	f.t.Helper()
 	var c wire.BackendCounts
