Seeds lost together with half of the fleet: survivors make themselves known at once

The seeds list nobody until the survivors' next announcement, after 1 to 3 s, and rank by identity, so that they name instances without a state: joining took 1.1 to 1.9 s, a third of the requests of four seconds missed their aim. Ruled out: the reads themselves (40 ms) and the age of the survivors' state, which is accepted at a start.

Change: an announcement says whether its sender holds a state; the answer to one without names three that do, its own data centre first. An instance without a state, and one that has lost a source or a follower while its state is older than 1 s, announces itself every 75 to 225 ms for 3 s (at 2,500 instances every 0.35 to 1.05 s).

--- a/internal/fanout/directory.go
+++ b/internal/fanout/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -29,11 +30,34 @@
 	// fallbackSources is the number of instances at the head of the ranking that an
 	// instance may follow when those above it in the tree fail.
 	fallbackSources = 3
+	// maxHolders is the number of holders of a state that an instance without one learns
+	// of at a time.
+	maxHolders = 3
 	// rankingKey is hashed with each instance ID, so that this ranking is independent
 	// of other rendezvous rankings of the same instances.
 	rankingKey = "platform-reader"
 )
 
+const (
+	// urgentAnnounceInterval is the interval between announcements while an instance has
+	// no state, or while a restarted seed may not know of one that has. It grows like
+	// the ordinary interval, as urgentShare of it.
+	urgentAnnounceInterval = 150 * time.Millisecond
+	urgentShare            = 0.07
+	// neighbourLossPeriod is the time for which an instance announces itself at that
+	// interval after it has lost a source or a follower: a seed that was lost at the same
+	// time has restarted by then.
+	neighbourLossPeriod = 3 * time.Second
+	// outageAge is the age of the state from which the platform is taken to be away.
+	outageAge = time.Second
+)
+
+// urgentInterval returns the interval between urgent announcements when the seeds list n
+// live instances.
+func urgentInterval(n int) time.Duration {
+	return max(urgentAnnounceInterval, time.Duration(urgentShare*float64(announceInterval(n))))
+}
+
 // announceInterval returns the interval between two announcements of an instance
 // when the seeds list n live instances in all data centres together.
 func announceInterval(n int) time.Duration {
@@ -64,6 +88,7 @@
 type entry struct {
 	address     netip.AddrPort
 	announcedAt time.Time
+	holdsState  bool // it has a state that it can pass on
 }
 
 // NewDirectory returns an empty directory.
@@ -71,8 +96,8 @@
 	return &Directory{byDataCentre: map[ids.DataCentre]*instanceList{}}
 }
 
-// Announce records that an instance is alive.
-func (d *Directory) Announce(now time.Time, dc ids.DataCentre, i Instance) {
+// Announce records that an instance is alive and whether it holds a state.
+func (d *Directory) Announce(now time.Time, dc ids.DataCentre, i Instance, holdsState bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l := d.byDataCentre[dc]
@@ -83,7 +108,7 @@
 	if old, exists := l.entries[i.ID]; !exists || old.address != i.Address {
 		l.ranking = nil
 	}
-	l.entries[i.ID] = entry{i.Address, now}
+	l.entries[i.ID] = entry{i.Address, now, holdsState}
 }
 
 // Leave removes an instance that is shutting down.
@@ -101,6 +126,9 @@
 	Sources []Instance // instances that the receiver may follow, in order of preference
 	Live    int        // number of live instances of the data centre
 	Known   int        // number of instances that the seed lists, in all data centres
+	// Holders are some instances that hold a state, those of the receiver's data centre
+	// first. Only an instance without a state gets them.
+	Holders []Instance `json:",omitempty"`
 }
 
 // Ranking returns the sources of an instance: its ancestors in a tree built from the
@@ -142,6 +170,30 @@
 	return r
 }
 
+// Holders returns up to maxHolders instances that hold a state, chosen at random, those
+// of the data centre dc first.
+func (d *Directory) Holders(dc ids.DataCentre) []Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var local, remote []Instance
+	for other, l := range d.byDataCentre {
+		for id, e := range l.entries {
+			switch {
+			case !e.holdsState:
+			case other == dc:
+				local = append(local, Instance{id, e.address})
+			default:
+				remote = append(remote, Instance{id, e.address})
+			}
+		}
+	}
+	for _, list := range [][]Instance{local, remote} {
+		rand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
+	}
+	list := append(local, remote...)
+	return list[:min(len(list), maxHolders)]
+}
+
 // sweep removes instances that no longer announce themselves. It runs at most once a
 // second. total is the number of instances in all data centres, from which instances
 // compute their announcement interval.
--- a/internal/fanout/directory_test.go
+++ b/internal/fanout/directory_test.go
@@ -33,9 +33,9 @@
 		at := netip.MustParseAddrPort("127.0.0.1:80")
 		name := func(i int) ids.Instance { return ids.Instance(fmt.Sprint("i", i)) }
 		for i := range n {
-			a.Announce(now, "dc", Instance{name(i), at})
-			b.Announce(now, "dc", Instance{name(n - 1 - i), at})
-			a.Announce(now, "other", Instance{name(i), at})
+			a.Announce(now, "dc", Instance{name(i), at}, true)
+			b.Announce(now, "dc", Instance{name(n - 1 - i), at}, true)
+			a.Announce(now, "other", Instance{name(i), at}, true)
 		}
 		followers := map[ids.Instance]int{}
 		depth := 0
--- a/internal/fanout/server.go
+++ b/internal/fanout/server.go
@@ -105,6 +105,7 @@
 	for {
 		update, changed, _ := s.state.Since(q) // cannot fail: a state stays initialized
 		if err := send(ctx, ws, &update); err != nil {
+			s.state.neighbourLost()
 			return // the follower logs the loss of its source
 		}
 		q.Starting = false
@@ -119,6 +120,7 @@
 		}
 		select {
 		case <-ctx.Done():
+			s.state.neighbourLost()
 			return
 		case <-changed:
 		case <-heartbeat.C:
@@ -165,6 +167,7 @@
 	dataCentre ids.DataCentre
 	self       Instance
 	leaving    bool
+	holdsState bool
 }
 
 func (a *announcement) query() string {
@@ -172,6 +175,7 @@
 	if a.leaving {
 		q.Set("leaving", "true")
 	}
+	q.Set("state", strconv.FormatBool(a.holdsState))
 	return q.Encode()
 }
 
@@ -188,9 +192,14 @@
 	if q.Get("leaving") == "true" {
 		s.directory.Leave(ids.DataCentre(dc), ids.Instance(id))
 	} else {
-		s.directory.Announce(time.Now(), ids.DataCentre(dc), Instance{ids.Instance(id), address})
+		// An instance of a former release, which does not say, is not chosen as a holder.
+		s.directory.Announce(time.Now(), ids.DataCentre(dc), Instance{ids.Instance(id), address}, q.Get("state") == "true")
+	}
+	ranking := s.directory.Ranking(time.Now(), ids.DataCentre(dc), ids.Instance(id))
+	if q.Get("state") == "false" {
+		ranking.Holders = s.directory.Holders(ids.DataCentre(dc))
 	}
 	w.Header().Set("Content-Type", "application/json")
 	// A write error means that the announcing instance has disconnected.
-	_ = json.NewEncoder(w).Encode(s.directory.Ranking(time.Now(), ids.DataCentre(dc), ids.Instance(id)))
+	_ = json.NewEncoder(w).Encode(ranking)
 }
--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -74,8 +74,8 @@
 	// platform is read directly.
 	MaxAge time.Duration
 	Log    *slog.Logger
-	// ConfigVersion returns the current version of the configuration, 0 for none.
-	ConfigVersion func() uint64
+	// State is the state into which the updates of the source are applied.
+	State *State
 	// OnInstanceCount is called with the number of live instances of the data centre
 	// when it changes.
 	OnInstanceCount func(n int)
@@ -138,24 +138,47 @@
 // records the ranking from their responses. It then notifies the seeds that the
 // instance is shutting down.
 func (s *Source) Announce(ctx context.Context) {
+	var neighbourLostAt time.Time
 	for {
 		s.announce(ctx, false)
-		select {
-		case <-ctx.Done():
-			leaving, cancel := context.WithTimeout(context.Background(), seedTimeout)
-			s.announce(leaving, true)
-			cancel()
-			return
-		case <-time.After(s.announceDelay()):
+		timer := time.NewTimer(s.announceDelay(neighbourLostAt))
+		for due := false; !due; {
+			select {
+			case <-ctx.Done():
+				timer.Stop()
+				leaving, cancel := context.WithTimeout(context.Background(), seedTimeout)
+				s.announce(leaving, true)
+				cancel()
+				return
+			case <-s.config.State.lostNeighbour:
+				neighbourLostAt = time.Now()
+				if s.urgent(neighbourLostAt) {
+					timer.Reset(s.announceDelay(neighbourLostAt))
+				}
+			case <-timer.C:
+				due = true
+			}
 		}
 	}
 }
 
+// urgent reports whether this instance has no state, or may be one of the few that have
+// one and are not listed: without the platform, an instance that starts can get a state
+// only from another one, and the seeds may have lost their lists together with the
+// neighbour.
+func (s *Source) urgent(neighbourLostAt time.Time) bool {
+	age, ok := s.config.State.Age()
+	return !ok || age > outageAge && time.Since(neighbourLostAt) < neighbourLossPeriod
+}
+
 // announceDelay returns the jittered time until the next announcement.
-func (s *Source) announceDelay() time.Duration {
+func (s *Source) announceDelay(neighbourLostAt time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	d := announceInterval(s.ranking.Known)
+	if s.urgent(neighbourLostAt) {
+		d = urgentInterval(s.ranking.Known)
+	}
 	return d/2 + rand.N(d)
 }
 
@@ -165,7 +188,8 @@
 	if len(s.seeds) == 0 {
 		return
 	}
-	a := announcement{s.config.DataCentre, s.config.Self, leaving}
+	_, holdsState := s.config.State.Age()
+	a := announcement{s.config.DataCentre, s.config.Self, leaving, holdsState}
 	path := instancesPath + "?" + a.query()
 	var calls sync.WaitGroup
 	var first sync.Once
@@ -415,7 +439,14 @@
 
 // startCandidates returns the instances whose state may be read at start-up.
 func (s *Source) startCandidates() []Instance {
-	candidates := slices.Clone(s.sources())
+	s.mu.Lock()
+	candidates := slices.Clone(s.ranking.Holders)
+	s.mu.Unlock()
+	for _, i := range s.sources() {
+		if !slices.Contains(candidates, i) {
+			candidates = append(candidates, i)
+		}
+	}
 	seeds := slices.Clone(s.config.Seeds)
 	rand.Shuffle(len(seeds), func(a, b int) { seeds[a], seeds[b] = seeds[b], seeds[a] })
 	for _, seed := range seeds {
@@ -458,7 +489,7 @@
 		}
 		c := s.clients[i.ID]
 		if c == nil || c.instance != i {
-			c = &client{instance: i, configVersion: s.config.ConfigVersion}
+			c = &client{instance: i, configVersion: s.config.State.Version}
 			s.clients[i.ID] = c
 		}
 		u, err := s.readFresh(ctx, c, after)
@@ -476,6 +507,7 @@
 			}
 			c.close()
 			if ctx.Err() == nil {
+				s.config.State.neighbourLost()
 				s.setCurrent("none", eris.Wrapf(err, "source %s", i.ID))
 			}
 			continue
--- a/internal/fanout/source_test.go
+++ b/internal/fanout/source_test.go
@@ -21,6 +21,7 @@
 	"gotest.tools/v3/assert"
 
 	"arbutusdock.example/arbutusdock/internal/follow"
+	"arbutusdock.example/arbutusdock/internal/httpget"
 	"arbutusdock.example/arbutusdock/internal/ids"
 	"arbutusdock.example/arbutusdock/internal/passthrough"
 	"arbutusdock.example/arbutusdock/internal/syncbuf"
@@ -30,7 +31,7 @@
 // again, and against a log line for every failed request.
 func TestSeedReachabilityLogged(t *testing.T) {
 	var log syncbuf.Buffer
-	s := NewSource(&platformStub{}, Config{Log: slog.New(slog.NewTextHandler(&log, nil)), ConfigVersion: noVersion})
+	s := NewSource(&platformStub{}, Config{Log: slog.New(slog.NewTextHandler(&log, nil)), State: NewState()})
 	for _, reachable := range []bool{true, false, false, true, true} {
 		s.recordSeedResult(reachable)
 	}
@@ -100,7 +101,7 @@
 		mux.ServeHTTP(w, r)
 	}))
 	t.Cleanup(n.server.Close)
-	n.source = NewSource(p, Config{DataCentre: "dc", Self: Instance{id, n.address()}, MaxAge: 300 * time.Millisecond, Log: discardLog, ConfigVersion: n.state.Version})
+	n.source = NewSource(p, Config{DataCentre: "dc", Self: Instance{id, n.address()}, MaxAge: 300 * time.Millisecond, Log: discardLog, State: n.state})
 	return n
 }
 
@@ -272,7 +273,7 @@
 	seed := newNode(t, "s", p)
 	seed.state.Apply(&follow.Update{Complete: true, Revision: 7, Age: time.Minute, Config: &passthrough.Config{Version: 3}})
 	n := newNode(t, "n", p)
-	n.source = NewSource(p, Config{DataCentre: "other", Self: Instance{"n", n.address()}, MaxAge: time.Second, Log: discardLog, ConfigVersion: noVersion,
+	n.source = NewSource(p, Config{DataCentre: "other", Self: Instance{"n", n.address()}, MaxAge: time.Second, Log: discardLog, State: NewState(),
 		Seeds: []string{"127.0.0.1:1", n.address().String(), seed.address().String()}})
 	u, err := n.source.ReadAll(context.Background(), time.Second)
 	assert.NilError(t, err)
@@ -297,7 +298,7 @@
 	p := &platformStub{}
 	seed, n := newNode(t, "s", p), newNode(t, "n", p)
 	n.source = NewSource(p, Config{DataCentre: "dc", Self: Instance{"n", n.address()}, MaxAge: time.Second,
-		Log: slog.New(slog.NewTextHandler(&log, nil)), ConfigVersion: noVersion, Seeds: []string{"127.0.0.1:1", seed.address().String()}})
+		Log: slog.New(slog.NewTextHandler(&log, nil)), State: NewState(), Seeds: []string{"127.0.0.1:1", seed.address().String()}})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { n.source.Announce(ctx); close(done) }()
@@ -314,6 +315,39 @@
 	assert.Equal(t, seed.dir.Ranking(time.Now(), "dc", "n").Live, 0)
 }
 
+// Guards against instances that serve nothing for seconds when the seeds restart together
+// with others while the platform is away, although survivors have a state. On the users'
+// bench, 16 of 31 instances, the three seeds among them, joined for 1.1 to 1.9 s.
+func TestSurvivorsFoundAfterLossOfSeeds(t *testing.T) {
+	p := &platformStub{}
+	p.down.Store(true)
+	seed, survivor, starter := newNode(t, "s", p), newNode(t, "v", p), newNode(t, "n", p)
+	survivor.state.Apply(&follow.Update{Complete: true, Revision: 7, Age: 2 * outageAge})
+	for _, n := range []*node{survivor, starter} {
+		n.source.seeds = []*httpget.Client{httpget.New(seed.server.URL, maxRankingBytes)}
+		n.source.config.Seeds = []string{seed.address().String()}
+	}
+	assert.Assert(t, !survivor.source.urgent(time.Time{}) && survivor.source.urgent(time.Now()))
+	assert.Assert(t, survivor.source.announceDelay(time.Now()) < 300*time.Millisecond)
+	assert.Assert(t, starter.source.announceDelay(time.Time{}) < 300*time.Millisecond, "without a state")
+	assert.Assert(t, urgentInterval(2500) > 500*time.Millisecond, "a fleet of 2,500 must not overload the seeds")
+
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go survivor.source.Announce(ctx)
+	go starter.source.Announce(ctx)
+	survivor.state.neighbourLost() // the seed has lost its list
+	for {
+		u, err := starter.source.ReadAll(ctx, 50*time.Millisecond)
+		if err == nil {
+			assert.Equal(t, u.Revision, uint64(7))
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(t, starter.source.Current(), "v", "the seed has no state")
+}
+
 // Guards against seeds that are reported as lost because a planned stop cancels an
 // announcement that they have not answered yet.
 func TestCancelledAnnouncementLosesNoSeed(t *testing.T) {
@@ -326,7 +360,7 @@
 		_, _ = io.WriteString(w, "{}")
 	}))
 	defer seed.Close()
-	s := NewSource(&platformStub{}, Config{Log: slog.New(slog.NewTextHandler(&log, nil)), ConfigVersion: noVersion,
+	s := NewSource(&platformStub{}, Config{Log: slog.New(slog.NewTextHandler(&log, nil)), State: NewState(),
 		Seeds: []string{strings.TrimPrefix(seed.URL, "http://")}})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/fanout/state.go
+++ b/internal/fanout/state.go
@@ -33,6 +33,7 @@
 	confirmedAt       time.Time                 // when the state was last confirmed to be up to date
 	initialized       bool                      // a full state has been applied
 	changed           chan struct{}             // closed at the next change
+	lostNeighbour     chan struct{}             // signalled when a follower or a source is lost
 }
 
 // removedTarget is a removed target with its last record.
@@ -48,7 +49,23 @@
 
 // NewState returns an empty state.
 func NewState() *State {
-	return &State{targets: map[string]*follow.Target{}, removed: map[string]removedTarget{}, changed: make(chan struct{})}
+	return &State{targets: map[string]*follow.Target{}, removed: map[string]removedTarget{}, changed: make(chan struct{}), lostNeighbour: make(chan struct{}, 1)}
+}
+
+// neighbourLost signals that the connection to a follower or a source has ended.
+func (s *State) neighbourLost() {
+	select {
+	case s.lostNeighbour <- struct{}{}:
+	default: // a signal is pending
+	}
+}
+
+// Age returns the time since the state was last confirmed to be up to date, and false
+// while there is none.
+func (s *State) Age() (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.confirmedAt), s.initialized
 }
 
 // Apply records an update. It replaces a configuration delta in u by the complete
--- a/internal/forwarder/interfaces.go
+++ b/internal/forwarder/interfaces.go
@@ -66,7 +66,7 @@
 		Seeds:           strings.FieldsFunc(f.settings.Seeds, func(r rune) bool { return r == ',' }),
 		MaxAge:          timing.Wait + timing.Timeout,
 		Log:             f.log,
-		ConfigVersion:   f.state.Version,
+		State:           f.state,
 		OnInstanceCount: func(n int) { f.submit(ctx, func() { f.core.SetInstances(n) }) },
 		OnRead:          f.metrics.countRead,
 	})
