A token that a caller uses again doesn't bring it the response to its earlier request

A separate response whose ACK was lost was sent again after the token was in use for another request. RFC 7252 section 5.3.1 allows the reuse.

Change: a request is a repeat only if its digest is the same; otherwise the earlier one is given up, or, if it is non-idempotent, runs once and is answered to nobody but its own copies. A new request with a token ends the retransmission of responses with it. Counted as Superseded. The digest gives the payload a number and a length, as it does options (TestDigest).

Not covered: the copy that reaches another instance than the earlier request did.

--- a/internal/core/caller.go
+++ b/internal/core/caller.go
@@ -112,6 +112,7 @@
 func (c *Core) routeRequest(d *callerDatagram) {
 	s, m := d.svc, d.msg
 	idempotent := s.idempotent&(1<<m.Code) != 0
+	c.supersede(d)
 	switch {
 	case !idempotent && len(m.Echo) > 0:
 		c.routeByToken(d)
@@ -129,12 +130,36 @@
 	}
 }
 
-// handleRepeat handles the retransmission of a request that is queued or in
-// flight at this instance. It returns false if the request is not a
-// retransmission of one.
+// supersede ends what would still be sent for an earlier request of the caller with the
+// token of d: an ACK may have been lost, or the caller has given that request up. RFC
+// 7252 section 5.3.1 allows a token to be used again when no request of the caller
+// waits for it.
+func (c *Core) supersede(d *callerDatagram) {
+	k := requestKey{ids.FlowKey{Caller: d.caller, Service: d.svc.name}, d.token}
+	if q := c.unackedByToken[k]; q != nil {
+		c.stopAwaitingAck(q)
+	}
+	r := c.requestsByKey[k]
+	if r == nil || r.digest == d.msg.Digest {
+		return
+	}
+	c.counters.Superseded++
+	if r.isAdmitted {
+		delete(c.requestsByKey, k)
+		r.superseded = true // it runs once all the same, and its outcome can be asked for
+		return
+	}
+	c.abandon(r, spread.Cancelled)
+	c.remove(r)
+	c.dispatch(d.svc)
+}
+
+// handleRepeat handles the retransmission of an idempotent request that is queued or in
+// flight at this instance. It returns false if the request is not a retransmission of
+// one.
 func (c *Core) handleRepeat(d *callerDatagram) bool {
 	r := c.requestsByKey[requestKey{ids.FlowKey{Caller: d.caller, Service: d.svc.name}, d.token}]
-	if r == nil || r.code != d.msg.Code || r.path != d.msg.PathHash {
+	if r == nil || r.isAdmitted {
 		return false
 	}
 	c.acknowledgeRepeat(r, d)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,7 +60,7 @@
 	busyServices []*service // services with pending work, processed at each tick
 	generation   uint64     // incremented when slot ownership may have changed
 
-	requestsByKey       map[requestKey]*request // requests without an admission token, queued or in flight
+	requestsByKey       map[requestKey]*request // the latest request with a token of its caller, queued or in flight
 	requestsByAdmission map[admission.ID]*request
 	liveRequests        []*request          // all requests that are queued or in flight
 	upstreams           map[uint64]upstream // by upstream token
@@ -74,6 +74,7 @@
 	admissions          *admission.Table
 
 	unacked         map[flow.AckKey]*unackedMessage
+	unackedByToken  map[requestKey]*unackedMessage // responses, not notifications
 	unackedList     []*unackedMessage
 	freeUnacked     []*unackedMessage
 	releasedUnacked []*unackedMessage
@@ -118,6 +119,7 @@
 		upstreamTokens:      make(map[uint16]uint64),
 		admissions:          admission.NewTable(self.Incarnation),
 		unacked:             make(map[flow.AckKey]*unackedMessage),
+		unackedByToken:      make(map[requestKey]*unackedMessage),
 		ackRoutes:           flow.Cache[flow.AckKey, ids.Instance]{Lifetime: routeLifetime, Limit: maxRoutes},
 		blockRoutes:         flow.Cache[flow.BlockKey, flow.BlockRoute]{Lifetime: routeLifetime, Limit: maxRoutes},
 		feeds:               flow.NewTable(),
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -35,9 +35,7 @@
 // empty.
 func (c *Core) start(r *request, class spread.Class) {
 	r.class = class
-	if !r.isAdmitted {
-		c.requestsByKey[r.requestKey()] = r
-	}
+	c.requestsByKey[r.requestKey()] = r
 	switch lease, ok, waits := c.acquireSlot(r); {
 	case ok:
 		c.sendUpstream(r, lease)
@@ -50,9 +48,7 @@
 func (c *Core) enqueue(r *request, class spread.Class) {
 	s := r.svc
 	r.class, r.state, r.predictedTime = class, queued, s.predictedSlotTime(class)
-	if !r.isAdmitted {
-		c.requestsByKey[r.requestKey()] = r
-	}
+	c.requestsByKey[r.requestKey()] = r
 	s.partners[r.partner].queued[class]++
 	s.queues[class].Push(s.partners[r.partner].Name, r.predictedTime, r)
 	c.counters.Queued++
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -18,6 +18,9 @@
 	messageID   uint16
 	token       message.Token
 	acked       bool // an empty ACK was sent; the response follows separately
+	// superseded is set when the caller has used the token for another request since.
+	// A response would be taken for the response to that one.
+	superseded bool
 }
 
 // callerDatagram is a datagram from a caller while it is being handled.
@@ -55,6 +58,7 @@
 	datagram      []byte // copy of the request datagram
 	code          message.Code
 	path          uint64
+	digest        uint64
 	runTimeKey    uint64 // key of the run-time predictor
 	contentKey    uint64 // predictor key of the request for the first block
 	block1        message.Block
@@ -123,7 +127,7 @@
 	s := d.svc
 	*r = request{
 		callerExchange: d.callerExchange, hash: d.hash, datagram: append(r.datagram[:0], d.msg.Raw...),
-		code: d.msg.Code, path: d.msg.PathHash, block1: d.msg.Block1, hops: d.hops,
+		code: d.msg.Code, path: d.msg.PathHash, digest: d.msg.Digest, block1: d.msg.Block1, hops: d.hops,
 		runTimeKey: s.runTimeKey(d.msg), contentKey: s.contentKey(d.msg),
 		idempotent: s.idempotent&(1<<d.msg.Code) != 0,
 		partner:    s.partnerOf(d.msg.Host, d.caller),
@@ -144,7 +148,8 @@
 	c.liveRequests = c.liveRequests[:last]
 	if r.isAdmitted {
 		delete(c.requestsByAdmission, r.admission)
-	} else if k := r.requestKey(); c.requestsByKey[k] == r {
+	}
+	if k := r.requestKey(); c.requestsByKey[k] == r {
 		delete(c.requestsByKey, k)
 	}
 	c.releasedRequests = append(c.releasedRequests, r)
--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -88,6 +88,73 @@
 	assert.Equal(t, len(tc.cores[core].upstreams)+len(tc.cores[core].upstreamTokens)+len(tc.cores[core].requestsByKey), 0)
 }
 
+// Guards against a response to one request that a caller takes for the response to
+// another, since it has used the token again: after it gave up the first one, and after a
+// lost ACK of the first response, which is then sent a second time.
+func TestTokenUsedAgain(t *testing.T) {
+	again := get(2)
+	again.token, again.path = get(1).token, "second"
+	sameResource := get(2)
+	sameResource.token, sameResource.payload = get(1).token, "second"
+	for name, second := range map[string]testRequest{"other resource": again, "same resource": sameResource} {
+		t.Run(name, func(t *testing.T) {
+			tc := newTestCluster(t, 1, testService("s", 4))
+			tc.backendRunTime = 2 * time.Second
+			tc.backendResponse = func(b backendMessage) *message.Outgoing {
+				o := &message.Outgoing{Type: message.Acknowledgement, Code: message.Content, ID: b.m.ID, Token: b.m.Token}
+				if bytes.Contains(b.m.Raw, []byte("second")) {
+					o.Payload = []byte("for the latter")
+				}
+				return o
+			}
+			tc.send(0, callerA, get(1))
+			tc.advance(1700 * time.Millisecond) // the response will follow separately
+			tc.send(0, callerA, second)
+			tc.advance(2500 * time.Millisecond)
+			got := tc.responses(callerA)
+			assert.Equal(t, len(got), 1)
+			assert.Assert(t, bytes.HasSuffix(got[0].m.Raw, []byte("for the latter")))
+
+			tc = newTestCluster(t, 1, testService("s", 4))
+			tc.backendRunTime = 2 * time.Second
+			tc.send(0, callerA, get(3)) // the response is separate and no ACK arrives
+			tc.advance(2100 * time.Millisecond)
+			third := again
+			third.id, third.token, third.path = 4, get(3).token, "z"
+			assert.Equal(t, len(tc.responses(callerA)), 1)
+			tc.clearRecords()
+			tc.send(0, callerA, third)
+			tc.advance(1900 * time.Millisecond)
+			for _, r := range tc.responses(callerA) {
+				assert.Assert(t, r.m.Token.Bytes[0] != third.token, "a second copy of the earlier response")
+			}
+		})
+	}
+}
+
+// Guards against a claim that does not run, or runs twice, because its caller has used
+// its token for another request meanwhile; and against its response being taken for the
+// response to that one.
+func TestTokenOfClaimUsedAgain(t *testing.T) {
+	tc := newTestCluster(t, 1, testService("s", 4))
+	tc.backendRunTime = 2 * time.Second
+	claim := post(1, "claim")
+	claim.echo = tc.requestToken(0, callerA, claim)
+	tc.clearRecords()
+	tc.send(0, callerA, claim)
+	tc.advance(1700 * time.Millisecond)
+	other := get(2)
+	other.token = claim.token
+	tc.send(0, callerA, other)
+	tc.advance(1900 * time.Millisecond)
+	assert.Equal(t, len(tc.responses(callerA)), 0, "the other request still runs")
+	assert.Equal(t, len(tc.receivedByBackends(message.POST)), 1)
+	claim.id = 9
+	tc.send(0, callerA, claim)
+	tc.advance(10 * time.Millisecond)
+	assert.Equal(t, len(tc.receivedByBackends(message.POST)), 1, "a copy gets the recorded response")
+}
+
 // Guards against a separate response whose message ID, chosen by the backend
 // server, equals that of another request in flight there: only the token
 // identifies the request.
--- a/internal/core/respond.go
+++ b/internal/core/respond.go
@@ -46,6 +46,9 @@
 // respond sends a final response: piggybacked on the ACK, or separately if an
 // empty ACK was already sent, or non-confirmable if the request was.
 func (c *Core) respond(x *callerExchange, o *message.Outgoing) {
+	if x.superseded {
+		return
+	}
 	o.Token = x.token
 	switch {
 	case x.messageType != message.Confirmable:
@@ -56,6 +59,8 @@
 		o.Type, o.ID = message.Confirmable, flow.ResponseID(c.now)
 		if q := c.awaitAck(x.svc, x.caller, o); q == nil {
 			o.Type = message.NonConfirmable
+		} else {
+			c.unackedByToken[q.requestKey()] = q
 		}
 	}
 	e := c.emit(ToCaller)
@@ -64,6 +69,9 @@
 
 // sendEmptyAck sends the empty ACK after which the response follows separately.
 func (c *Core) sendEmptyAck(x *callerExchange) {
+	if x.superseded {
+		return
+	}
 	x.acked = true
 	e := c.emit(ToCaller)
 	e.Service, e.Endpoint = x.svc.name, x.caller
@@ -107,6 +115,10 @@
 	return q
 }
 
+func (q *unackedMessage) requestKey() requestKey {
+	return requestKey{q.key.FlowKey, q.datagram.Token}
+}
+
 func nilIfEmpty(b []byte) []byte {
 	if len(b) == 0 {
 		return nil
@@ -126,6 +138,9 @@
 // stopAwaitingAck removes q from the messages that await an ACK.
 func (c *Core) stopAwaitingAck(q *unackedMessage) {
 	delete(c.unacked, q.key)
+	if k := q.requestKey(); c.unackedByToken[k] == q {
+		delete(c.unackedByToken, k)
+	}
 	last := len(c.unackedList) - 1
 	c.unackedList[q.listIndex] = c.unackedList[last]
 	c.unackedList[q.listIndex].listIndex = q.listIndex
--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -14,13 +14,15 @@
 // Counters counts events since the start of the instance. Resends are requests
 // that are sent again to the same backend server, Retransmits are confirmable
 // messages that are sent again to a caller, and Repeats are retransmissions
-// received from callers. Shed counts 5.03 responses of backend servers, Unsynced
+// received from callers. Superseded counts requests whose token their caller used for
+// another one meanwhile. Shed counts 5.03 responses of backend servers, Unsynced
 // the requests discarded because the membership list has not arrived yet.
 type Counters struct {
 	Requests, Answered, Dispatched, Relayed, Queued uint64
 	Minted, Reminted, Admitted, Duplicates          uint64
 	Refused, Expired, Unknown, Timeouts, Cancelled  uint64
 	Shed, Retries, Resends, Retransmits, Repeats    uint64
+	Superseded                                      uint64
 	LateResponses, LateAcks, OldNotifications       uint64
 	FeedsOpened, FeedsEnded, FeedsMoved             uint64
 	Notifications, Malformed, UnknownService        uint64
--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -170,15 +170,23 @@
 			c.hashOption(o)
 		}
 	}
-	_, _ = c.hash.Write(c.msg.Payload)
+	c.hashValue(payloadID, c.msg.Payload)
 	return c.hash.Sum64()
 }
 
-func (c *codec) hashOption(o *coap.Option) {
-	binary.BigEndian.PutUint16(c.hashPrefix[:2], uint16(o.ID))
-	binary.BigEndian.PutUint32(c.hashPrefix[2:], uint32(len(o.Value)))
+// payloadID precedes the payload in the digest, in place of the number of an option. It
+// is reserved (RFC 7252 section 12.2), and only the payload comes last.
+const payloadID = 65535
+
+func (c *codec) hashOption(o *coap.Option) { c.hashValue(uint16(o.ID), o.Value) }
+
+// hashValue hashes a value with its number and its length, without which one value could
+// imitate several.
+func (c *codec) hashValue(id uint16, value []byte) {
+	binary.BigEndian.PutUint16(c.hashPrefix[:2], id)
+	binary.BigEndian.PutUint32(c.hashPrefix[2:], uint32(len(value)))
 	_, _ = c.hash.Write(c.hashPrefix[:])
-	_, _ = c.hash.Write(o.Value)
+	_, _ = c.hash.Write(value)
 }
 
 func (c *codec) hashPath() uint64 {
--- a/internal/message/codec_test.go
+++ b/internal/message/codec_test.go
@@ -57,6 +57,11 @@
 	assert.NilError(t, Decode(encodeRequest(t, codes.POST, "lot 8", path), &c))
 	assert.Equal(t, a.Digest, b.Digest)
 	assert.Assert(t, a.Digest != c.Digest)
+	query := coap.Option{ID: coap.URIQuery, Value: []byte("lot=7")}
+	imitation := string([]byte{0, byte(coap.URIQuery), 0, 0, 0, byte(len(query.Value))}) + string(query.Value)
+	assert.NilError(t, Decode(encodeRequest(t, codes.POST, "", path, query), &a))
+	assert.NilError(t, Decode(encodeRequest(t, codes.POST, imitation, path), &b))
+	assert.Assert(t, a.Digest != b.Digest, "a payload that looks like an option")
 }
 
 // Guards against options that Encode changes or drops. Unknown options, both
