--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -60,6 +60,28 @@
 	assertInvariants(t, verdict())
 }
 
+// Guards against planned stops that cut off requests which have just been accepted: one
+// instance of each data centre stops while both are overloaded, so that queues, relays
+// and admissions are under way.
+func TestPlannedStopsUnderOverload(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t)
+	verdict := f.startLoadWith(caller.Options{Duration: 8 * time.Second, AckTimeout: 2 * time.Second}, overloadRequestRate)
+	time.Sleep(2 * time.Second)
+	stopping := []string{"dc1-2", "dc2-1"}
+	for _, id := range stopping {
+		f.events = append(f.events, report.Event{At: time.Now().UnixMilli(), Name: report.StopBegin, Note: id})
+		f.signal(id, syscall.SIGTERM)
+		f.mustRequest("POST", f.platformURL()+"/control/instances/"+id+"/leave", nil)
+	}
+	for _, id := range stopping {
+		f.awaitExit(id)
+		f.events = append(f.events, report.Event{At: time.Now().UnixMilli(), Name: report.StopEnd, Note: id})
+		f.removeFromList(id)
+	}
+	assertInvariants(t, verdict())
+}
+
 // Guards against a paused instance that resumes with stale state and executes
 // requests again, or responds to requests of other instances.
 func TestPauseAndResume(t *testing.T) {
