--- a/internal/passthrough/core.go
+++ b/internal/passthrough/core.go
@@ -328,15 +328,21 @@
 	return !known || average > longFlowRequests
 }
 
+// averageWith returns the average number of requests per flow of the route of f once f,
+// which has had some, has ended.
+func (c *Core) averageWith(f *flow) float64 {
+	average, known := c.requestsPerFlow[f.key.Service]
+	if !known {
+		return float64(f.requests)
+	}
+	return average + requestsPerFlowWeight*(float64(f.requests)-average)
+}
+
 // removeFlow removes f from the flow table and from the load of its target, and
 // adds it to the average number of requests per flow.
 func (c *Core) removeFlow(f *flow) {
 	if f.requests > 0 {
-		average, known := c.requestsPerFlow[f.key.Service]
-		if !known {
-			average = float64(f.requests)
-		}
-		c.requestsPerFlow[f.key.Service] = average + requestsPerFlowWeight*(float64(f.requests)-average)
+		c.requestsPerFlow[f.key.Service] = c.averageWith(f)
 	}
 	c.subtractLoad(f)
 	c.flows.remove(f)
--- a/internal/passthrough/inspect.go
+++ b/internal/passthrough/inspect.go
@@ -68,9 +68,8 @@
 
 func (v Verdict) String() string { return verdictNames[v] }
 
-// Explain returns the decision that a packet of a flow would get now. A cookie of
-// 0 stands for the opening packet of a new flow. The random state is restored, so
-// that the call does not influence later choices.
+// Explain returns the decision that a packet of a flow would get now: its opening packet
+// for a cookie of 0, otherwise a packet with request data. It changes no state.
 func (c *Core) Explain(now ids.Time, flow FlowKey, cookie Cookie) Explanation {
 	e := Explanation{Version: c.routes.version, Verdict: Drop.String()}
 	set := func(v Verdict, r Reason) { e.Verdict, e.Reason = v.String(), r.String() }
@@ -91,25 +90,75 @@
 			set(Drop, UnknownCookie)
 			break
 		}
-		set(Forward, KnownCookie)
 		e.Target, e.Service = t.Name, t.Service
-	default:
-		e.Service = route.service(flow)
-		if p := c.targets.pools[e.Service]; p != nil {
-			e.Pressure = p.pressure
-			for _, t := range slices.Concat(p.local, p.remote) {
-				e.Candidates = append(e.Candidates, c.targetState(now, t))
-			}
-		}
-		savedState := c.rngState
-		t := c.choose(now, e.Service, nil, c.hasLongFlows(flow.Service))
-		c.rngState = savedState
-		if t == nil {
-			set(Drop, NoTarget)
+		if reason, ok := t.resetReason(now, &Packet{Flow: flow, Cookie: cookie, Length: 1}); ok {
+			set(Reset, reason)
 			break
 		}
-		set(Forward, Placed)
-		e.Target = t.Name
+		set(Forward, KnownCookie)
+	default:
+		c.explainPlacement(now, flow, route, &e)
 	}
 	return e
 }
+
+// explainPlacement sets the decision on the opening packet of a flow.
+func (c *Core) explainPlacement(now ids.Time, flow FlowKey, route *Route, e *Explanation) {
+	e.Service = route.service(flow)
+	p := c.targets.pools[e.Service]
+	if p != nil {
+		e.Pressure = p.pressure
+		for _, t := range slices.Concat(p.local, p.remote) {
+			e.Candidates = append(e.Candidates, c.targetState(now, t))
+		}
+	}
+	reason, avoid, long := Placed, (*target)(nil), c.hasLongFlows(flow.Service)
+	if f := c.flows.get(flow); f != nil {
+		t := c.target(f)
+		switch {
+		case f.state != flowOpening || t == nil:
+		case t.usable() && now.Sub(f.forwardedAt) < openingTimeout:
+			e.Verdict, e.Reason, e.Target = Forward.String(), Repeated.String(), t.Name
+			return
+		default:
+			reason, avoid = Replaced, t
+		}
+		if f.requests > 0 {
+			long = c.averageWith(f) > longFlowRequests
+		}
+		if t != nil { // the flow ends with a new opening
+			defer t.withoutFlow(f)()
+		}
+	}
+	random := c.rngState
+	var pressure float64
+	var updatedAt ids.Time
+	if p != nil {
+		pressure, updatedAt = p.pressure, p.updatedAt
+	}
+	t := c.choose(now, e.Service, avoid, long)
+	c.rngState = random
+	if p != nil {
+		p.pressure, p.updatedAt = pressure, updatedAt
+	}
+	if t == nil {
+		d := c.noTargetDecision(now, e.Service)
+		e.Verdict, e.Reason = d.Verdict.String(), d.Reason.String()
+		return
+	}
+	e.Verdict, e.Reason, e.Target = Forward.String(), reason.String(), t.Name
+}
+
+// withoutFlow removes the load of f from t and returns a function that adds it again.
+func (t *target) withoutFlow(f *flow) (undo func()) {
+	requests := 0
+	if f.requestActive {
+		requests = 1
+	}
+	t.flows--
+	t.addActiveRequests(-requests)
+	return func() {
+		t.flows++
+		t.addActiveRequests(requests)
+	}
+}
