--- a/cmd/arbutusdock/admin.go
+++ b/cmd/arbutusdock/admin.go
@@ -31,10 +31,13 @@
 		return eris.Wrapf(err, "admin interface %s", address)
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxAdminBodyBytes))
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAdminBodyBytes+1))
 	if err != nil {
 		return eris.Wrapf(err, "admin interface %s: read body", address)
 	}
+	if len(data) > maxAdminBodyBytes {
+		return eris.Errorf("admin interface %s: body exceeds %d bytes", address, maxAdminBodyBytes)
+	}
 	if response.StatusCode != http.StatusOK {
 		var errorBody struct{ Error string }
 		_ = json.Unmarshal(data, &errorBody) // without a valid body, only the status is reported
--- a/cmd/arbutusdock/flows_test.go
+++ b/cmd/arbutusdock/flows_test.go
@@ -50,3 +50,16 @@
 	assert.Equal(t, code, exitFailed)
 	assert.Assert(t, strings.Contains(errOut, "either --service or --to is needed"), errOut)
 }
+
+// Guards against a response that is cut at the size limit and reported as invalid.
+func TestTooLargeAdminResponse(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		chunk := make([]byte, 1<<20)
+		for range maxAdminBodyBytes>>20 + 1 {
+			_, _ = w.Write(chunk)
+		}
+	}))
+	defer server.Close()
+	err := getAdmin(strings.TrimPrefix(server.URL, "http://"), "/v1/state", nil, &forwarder.State{})
+	assert.ErrorContains(t, err, "exceeds")
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -72,6 +73,7 @@
 	lastPacket atomic.Int64  // time of the last packet, an ids.Time
 	received   atomic.Uint64 // number of datagrams received
 	stop       chan struct{} // closed by Stop
+	stopOnce   sync.Once
 }
 
 // clock is a monotonic clock, independent of changes of the wall clock.
@@ -207,8 +209,8 @@
 	return true
 }
 
-// Stop begins the planned stop. It must be called at most once.
-func (f *Forwarder) Stop() { close(f.stop) }
+// Stop begins the planned stop. Further calls have no effect.
+func (f *Forwarder) Stop() { f.stopOnce.Do(func() { close(f.stop) }) }
 
 // awaitStop waits for Stop. It then takes the instance out of rotation, allows the
 // packets that still arrive to be forwarded, and closes the socket.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -193,6 +193,7 @@
 	assert.NilError(t, err)
 	stopping := f.instances[0]
 	stopping.Stop()
+	stopping.Stop() // a second signal must not end the process
 	f.eventually(func() bool { return stopping.readyStatus() == http.StatusServiceUnavailable }, "the instance leaves the rotation")
 	start := time.Now()
 	for i := 0; time.Since(start) < 1200*time.Millisecond; i++ {
--- a/internal/standin/report/report.go
+++ b/internal/standin/report/report.go
@@ -97,7 +97,8 @@
 // ParseEvents reads events from lines of the form "unix-ms name note".
 func ParseEvents(r io.Reader) ([]Event, error) {
 	var events []Event
-	for s := bufio.NewScanner(r); s.Scan(); {
+	s := bufio.NewScanner(r)
+	for s.Scan() {
 		f := strings.SplitN(s.Text(), " ", 3)
 		if len(f) < 2 {
 			continue
@@ -112,7 +113,7 @@
 		}
 		events = append(events, e)
 	}
-	return events, nil
+	return events, eris.Wrap(s.Err(), "read events")
 }
 
 // Evaluate checks the counters against the guarantees.
--- a/internal/standin/report/report_test.go
+++ b/internal/standin/report/report_test.go
@@ -70,3 +70,10 @@
 	v = Evaluate(Input{Callers: []wire.CallerResult{{Classes: map[string]*wire.ClassCounts{"claim": {Started: 100, OK: 50}}}}})
 	assert.Assert(t, !v.OK())
 }
+
+// Guards against a verdict on the events before a line that cannot be read, as if there
+// were no others.
+func TestUnreadableEventsAreAnError(t *testing.T) {
+	_, err := ParseEvents(strings.NewReader("10000 kill dc1-1\n" + strings.Repeat("x", 1<<17) + "\n20000 kill dc1-2\n"))
+	assert.ErrorContains(t, err, "read events")
+}
