--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -34,7 +34,7 @@
 
 // watchDocuments executes the read requests of the core, one at a time.
 func (w *platformWatcher) watchDocuments(ctx context.Context) {
-	failing := false
+	failing, behind := false, false
 	for {
 		select {
 		case <-ctx.Done():
@@ -53,6 +53,17 @@
 				w.log.Info("platform-read-recovered", "upto", page.UpToRevision)
 			}
 			failing = err != nil
+			// A platform that was restored from an older copy must continue above the
+			// revisions that it gave out; until then its changes have no effect.
+			if wasBehind := behind; err == nil {
+				behind = page.UpToRevision < request.after
+				switch {
+				case behind && !wasBehind:
+					w.log.Warn("platform-behind", "upto", page.UpToRevision, "known", request.after)
+				case !behind && wasBehind:
+					w.log.Info("platform-caught-up", "upto", page.UpToRevision)
+				}
+			}
 			w.pushEvent(controlEvent{config: &core.ConfigEvent{Documents: page.Documents, Revision: page.UpToRevision, Err: err}})
 		}
 	}
