Flows that wait for an unreachable target are reset with the result of the check

A caller with an open flow retransmits after 0.2, 0.6 and 1.4 s; the second one starts a check, which has its result at 0.9 s, and the reset went out with the third. Now it goes out with the result, to flows of idempotent requests whose data is unanswered; others get theirs with the next packet, as before.

Ruled out: a check after the first retransmission: a backend server whose queue is full needs 150 ms for a check, and more while it is slow.

--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -33,9 +34,20 @@
 	_, ok := f.checker.pool.TrySubmit(func() {
 		result := platform.CheckHealth(ctx, k, checkTimeout)
 		f.metrics.checks.WithLabelValues(result.String()).Inc()
-		f.submit(ctx, func() { f.core.ReportCheck(f.clock.now(), k, start, result) })
+		f.submit(ctx, func() {
+			f.core.ReportCheck(f.clock.now(), k, start, result)
+			f.core.TakeResets(f.sendReset)
+		})
 	})
 	if !ok {
 		f.log.Warn("check-left-out", "target", k.Target) // the core requests it again at the next suspicion
 	}
 }
+
+// sendReset sends a reset that is not the answer to a packet.
+func (f *Forwarder) sendReset(r *passthrough.FlowReset) {
+	p := &r.Packet
+	f.send(platform.AppendReset(nil, p), netip.AddrPortFrom(netip.AddrFrom4(p.Flow.Caller.IP), f.settings.Listen.Port()))
+	f.metrics.packets[r.Decision.Reason].Inc()
+	f.logDecision(f.clock.now(), p, &r.Decision)
+}
--- a/internal/passthrough/core.go
+++ b/internal/passthrough/core.go
@@ -27,6 +27,7 @@
 	rngState        uint64
 	events          []Event
 	checks          []Check
+	resets          []FlowReset          // not taken yet
 	removals        []removal            // removed targets whose cookies are kept for their open flows
 	requestsPerFlow map[Endpoint]float64 // by route address: moving average of the requests per flow
 
@@ -275,6 +276,7 @@
 		return // the packets of the request arrived out of order
 	}
 	d.StalledFor = now.Sub(f.requestedAt)
+	t.addStalled(c.routes.routes[f.key.Service], f.key)
 	if t.retransmits++; t.retransmits >= 2 {
 		c.recordFailure(now, t, f.requestedAt, "data repeated")
 	}
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -36,6 +36,9 @@
 	lastCheckAt      ids.Time
 	unreachableUntil ids.Time // the target counts as unreachable until then
 	retransmits      int      // packets with retransmitted data since lastAlive
+	// stalled are flows of idempotent requests whose caller has retransmitted data since
+	// lastAlive, at most maxStalled.
+	stalled []FlowKey
 	// retryAt is the time from which a suspected target may get a flow again.
 	retryAt   ids.Time
 	retries   int // number of calls of scheduleRetry since lastAlive
--- a/internal/passthrough/trust.go
+++ b/internal/passthrough/trust.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"slices"
 	"time"
 
 	"arbutusdock.example/arbutusdock/internal/chart"
@@ -122,7 +123,7 @@
 func (c *Core) markAlive(now ids.Time, t *target) {
 	c.lastAlive = now
 	t.lastAlive = now
-	t.retries, t.retransmits = 0, 0
+	t.retries, t.retransmits, t.stalled = 0, 0, t.stalled[:0]
 	t.unreachableUntil = 0
 	if t.suspicion.State() == chart.Suspected {
 		t.suspicion.Fire(chart.SuspicionRefute)
@@ -130,6 +131,46 @@
 	}
 }
 
+// maxStalled bounds the flows that are reset together with the result of a check.
+const maxStalled = 64
+
+// addStalled remembers a flow that waits for an answer of t, if its requests may be
+// repeated.
+func (t *target) addStalled(r *Route, key FlowKey) {
+	if r != nil && r.Idempotent && len(t.stalled) < maxStalled && !slices.Contains(t.stalled, key) {
+		t.stalled = append(t.stalled, key)
+	}
+}
+
+// resetStalled resets the flows that wait for an answer of t, which is unreachable.
+// Otherwise their callers would notice at their next retransmission, up to 0.8 s later.
+func (c *Core) resetStalled(t *target, reason Reason) {
+	for _, key := range t.stalled {
+		f := c.flows.get(key)
+		if f == nil || c.target(f) != t || f.state != flowOpen || !f.requestActive {
+			continue
+		}
+		c.resets = append(c.resets, FlowReset{Packet{Flow: key, Ack: f.ack}, Decision{Verdict: Reset, Reason: reason, Target: t.Name, Service: t.Service}})
+		c.removeFlow(f)
+	}
+	t.stalled = t.stalled[:0]
+}
+
+// FlowReset is a reset that is not the answer to a packet: one to send to the caller of
+// Packet.Flow, with the sequence number Packet.Ack.
+type FlowReset struct {
+	Packet   Packet
+	Decision Decision
+}
+
+// TakeResets calls f with each reset since the last call and removes the resets.
+func (c *Core) TakeResets(f func(*FlowReset)) {
+	for i := range c.resets {
+		f(&c.resets[i])
+	}
+	c.resets = c.resets[:0]
+}
+
 // MaxChecks bounds the number of queued health checks.
 const MaxChecks = 64
 
@@ -190,8 +231,10 @@
 	case result == CheckReplaced:
 		t.addressReused = true
 		c.targets.updatePool(t)
+		c.resetStalled(t, TargetGone)
 	case result == CheckUnreachable && c.lastAlive > began:
 		t.unreachableUntil = now.Add(checkTTL)
+		c.resetStalled(t, TargetUnreachable)
 	default:
 		return
 	}
--- a/internal/passthrough/trust_test.go
+++ b/internal/passthrough/trust_test.go
@@ -234,3 +234,50 @@
 	assert.Assert(t, !target.excluded(startTime.Add(40*ms)))
 	assert.Equal(t, target.flows, 0)
 }
+
+// Guards against a caller that waits for up to 0.8 s, until its next retransmission,
+// after a check has shown that the target of its flow is unreachable; against a reset of
+// a flow that has been answered since, and of a request that may run only once.
+func TestCheckResetsStalledFlows(t *testing.T) {
+	c := testCore()
+	config := testConfig(2)
+	config.Routes[0].Idempotent = true
+	c.ApplyConfig(config)
+	now := startTime
+	target := c.HandlePacket(now, openingPacket(testFlow(1, counterAddress), 0)).Target
+	var waiting []FlowKey
+	for n := 1; len(waiting) < 3; n++ {
+		f := testFlow(n, counterAddress)
+		d := c.HandlePacket(now, openingPacket(f, 0))
+		c.HandlePacket(now.Add(10*ms), requestPacket(f, d.Cookie))
+		if d.Target == target {
+			waiting = append(waiting, f)
+		}
+	}
+	cookie := c.targets.byName[target].cookie
+	for _, f := range waiting {
+		c.HandlePacket(now.Add(210*ms), requestPacket(f, cookie))
+	}
+	answered := requestPacket(waiting[0], cookie)
+	answered.Ack += 100
+	c.flows.get(waiting[0]).requestActive = false // as after an answer that is no proof, of another instance
+	check := Check{Target: target}
+	c.lastAlive = now.Add(300 * ms) // of the reference
+	c.ReportCheck(now.Add(600*ms), check, now.Add(250*ms), CheckUnreachable)
+	var reset []FlowKey
+	c.TakeResets(func(r *FlowReset) {
+		reset = append(reset, r.Packet.Flow)
+		assert.Equal(t, r.Decision.Reason, TargetUnreachable)
+		assert.Equal(t, r.Packet.Ack, requestPacket(waiting[1], cookie).Ack)
+	})
+	assert.DeepEqual(t, reset, waiting[1:])
+	c.TakeResets(func(*FlowReset) { t.Error("taken twice") })
+	assert.Equal(t, c.HandlePacket(now.Add(610*ms), answered).Verdict, Reset, "with its next data")
+
+	once := testFlow(900, slipsAddress)
+	d := openFlow(t, c, now, once)
+	c.HandlePacket(now.Add(300*ms), requestPacket(once, d.Cookie))
+	c.lastAlive = now.Add(time.Second)
+	c.ReportCheck(now.Add(time.Second), Check{Target: d.Target}, now.Add(900*ms), CheckReplaced)
+	c.TakeResets(func(*FlowReset) { t.Error("a request that must not run again") })
+}
