--- a/internal/fanout/source_test.go
+++ b/internal/fanout/source_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 	"gotest.tools/v3/assert"
@@ -447,3 +448,22 @@
 		assert.Assert(t, u.ConfigDelta == nil)
 	}
 }
+
+// Guards against an update of several messages that breaks off and is taken as complete:
+// the targets that are missing would count as removed.
+func TestUpdateThatBreaksOff(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ws, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		part := follow.Update{More: true, Targets: []*follow.Target{target("a", 5, false)}}
+		_ = sendMessage(r.Context(), ws, &part)
+		_ = ws.Close(websocket.StatusNormalClosure, "")
+	}))
+	defer server.Close()
+	c := client{instance: Instance{"n", netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}, configVersion: noVersion}
+	defer c.close()
+	u, err := c.read(context.Background(), follow.Position{})
+	assert.Assert(t, err != nil && len(u.Targets) == 0, "%+v", u)
+}
