Reconciler: what a restore needs is kept beside the targets, not for each of them

TestMemoryAtTargetSize failed once in two runs at 66.6 MB of 64 (29,000 targets): a state remembered every target as removed while a full list replaced it, and the reconciler kept 40 bytes for each that only a restore needs.

--- a/internal/fanout/state.go
+++ b/internal/fanout/state.go
@@ -74,10 +74,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pruneRemoved()
+	former := s.targets
 	if u.Complete {
-		for _, t := range s.targets {
-			s.remember(t)
-		}
 		s.targets = make(map[string]*follow.Target, len(u.Targets))
 		s.held = 0
 		s.changes = s.changes[:0]
@@ -98,6 +96,13 @@
 			s.changes = append(s.changes, change{t.Revision, t.Name})
 		}
 	}
+	if u.Complete {
+		for name, t := range former {
+			if s.targets[name] == nil {
+				s.remember(t)
+			}
+		}
+	}
 	if excess := len(s.changes) - maxChanges; excess > 0 {
 		s.compactedRevision = s.changes[excess-1].revision
 		s.changes = append(s.changes[:0], s.changes[excess:]...)
@@ -115,16 +120,17 @@
 
 // put replaces the entry of a target.
 func (s *State) put(t *follow.Target) {
-	if old := s.targets[t.Name]; old != nil {
-		s.remember(old)
-		if old.Held != follow.NotHeld {
-			s.held--
-		}
+	old := s.targets[t.Name]
+	if old != nil && old.Held != follow.NotHeld {
+		s.held--
 	}
 	if t.Held != follow.NotHeld {
 		s.held++
 	}
 	if t.Removed && !t.Unreadable && t.Held == follow.NotHeld {
+		if old != nil {
+			s.remember(old)
+		}
 		delete(s.targets, t.Name)
 		return
 	}
@@ -132,7 +138,7 @@
 	delete(s.removed, t.Name)
 }
 
-// remember keeps a target that is about to be removed or replaced.
+// remember keeps a target that is removed.
 func (s *State) remember(t *follow.Target) {
 	if t.Record.Name != "" {
 		s.removed[t.Name] = removedTarget{&follow.Target{Name: t.Name, Removed: true, Held: follow.HeldNewer, Record: t.Record, CopySeq: t.CopySeq}, time.Now()}
--- a/internal/follow/reconcile.go
+++ b/internal/follow/reconcile.go
@@ -42,23 +42,24 @@
 type Reconciler struct {
 	position      Position
 	configVersion uint64
-	known         map[string]*knowledge
-	removals      []removal // in order of time
-	eraBegan      time.Time // zero in the era in which the reconciler started
-	missing       int       // targets held as HeldMissing
-	rereadDue     bool      // a held record can be resolved only by another full read
+	known         map[string]knowledge
+	copied        map[string]write // writes that the restored copy has of targets known to be gone
+	removals      []removal        // in order of time
+	eraBegan      time.Time        // zero in the era in which the reconciler started
+	missing       int              // targets held as HeldMissing
+	lists         uint32           // number of full lists applied
+	rereadDue     bool             // a held record can be resolved only by another full read
 }
 
 // knowledge is what is known about one target.
 type knowledge struct {
-	target *Target // as last delivered
-	// lastWrite is the latest write by the target itself that is known.
-	lastWrite write
-	// copied is the write that the restored copy has; valid if inCopy is set.
-	copied write
-	inCopy bool
+	target *Target // as last delivered; with the last known record if it is removed
+	list   uint32  // number of the last full list that had the target
 }
 
+// lastWrite returns the latest write by the target itself that is known.
+func (k *knowledge) lastWrite() write { return writeOf(k.target) }
+
 type removal struct {
 	name string
 	at   time.Time
@@ -76,7 +77,9 @@
 }
 
 // NewReconciler returns a reconciler that knows nothing.
-func NewReconciler() *Reconciler { return &Reconciler{known: map[string]*knowledge{}} }
+func NewReconciler() *Reconciler {
+	return &Reconciler{known: map[string]knowledge{}, copied: map[string]write{}}
+}
 
 // Position returns the position of the last update.
 func (r *Reconciler) Position() Position { return r.position }
@@ -120,9 +123,7 @@
 	if u.Restored {
 		r.eraBegan = now.Add(-u.EraAge)
 		r.rereadDue = false
-		for _, k := range r.known {
-			k.inCopy = false
-		}
+		clear(r.copied)
 	} else if u.EraAge > 0 && r.eraBegan.IsZero() {
 		r.eraBegan = now.Add(-u.EraAge)
 	}
@@ -189,7 +190,7 @@
 func (r *Reconciler) applyChanges(now time.Time, u *Update) {
 	kept := u.Targets[:0]
 	for _, t := range u.Targets {
-		k := r.known[t.Name]
+		k := r.lookup(t.Name)
 		if k != nil && t.Revision < k.target.Revision {
 			continue // the pages of a full read and the changes after it overlap
 		}
@@ -200,32 +201,40 @@
 
 // applyComplete reconciles a full list of targets and adds the held ones to it.
 func (r *Reconciler) applyComplete(now time.Time, u *Update) {
-	listed := make(map[string]bool, len(u.Targets))
+	r.lists++
 	for i, t := range u.Targets {
-		listed[t.Name] = true
-		k := r.known[t.Name]
+		k := r.lookup(t.Name)
 		held := k != nil && (u.Restored || k.target.Held != NotHeld)
 		u.Targets[i] = r.merge(now, k, t, held)
+		r.known[t.Name] = knowledge{r.known[t.Name].target, r.lists}
 	}
 	rewritten := now.Sub(r.eraBegan) >= rewriteTime
 	for name, k := range r.known {
 		switch {
-		case listed[name]:
+		case k.list == r.lists:
 		case k.target.Removed:
 			if u.Restored || k.target.Held != NotHeld {
 				gone := *k.target // its revision may be of an earlier era
 				gone.Revision, gone.Held, gone.CopySeq = u.Revision, NotHeld, 0
-				r.setTarget(k, &gone)
+				r.setTarget(&k, &gone)
 			}
 		case !rewritten && (u.Restored || k.target.Held == HeldMissing):
-			u.Targets = append(u.Targets, r.hold(k, u.Revision, HeldMissing))
+			u.Targets = append(u.Targets, r.hold(&k, u.Revision, HeldMissing))
 		default:
-			r.remove(now, k, &Target{Name: name, Revision: u.Revision, Removed: true})
+			r.remove(now, &k, &Target{Name: name, Revision: u.Revision, Removed: true})
 		}
 	}
 	r.releaseReusedAddresses(now, u)
 }
 
+// lookup returns what is known about a target, or nil.
+func (r *Reconciler) lookup(name string) *knowledge {
+	if k, ok := r.known[name]; ok {
+		return &k
+	}
+	return nil
+}
+
 // merge decides between the known record k, which may be nil, and the published record
 // t. held is set if t may be older than k although its revision is higher: k is of an
 // earlier era.
@@ -239,7 +248,7 @@
 		return r.remove(now, k, &Target{Name: t.Name, Revision: t.Revision, Removed: true})
 	case t.Held != NotHeld:
 		// Another instance holds t: it knows of it what this one knows of k.
-		outdated := k.lastWrite.after(published) || k.lastWrite == published && k.target.Removed && !t.Removed
+		outdated := k.lastWrite().after(published) || k.lastWrite() == published && k.target.Removed && !t.Removed
 		if !outdated {
 			return r.accept(now, k, t)
 		}
@@ -248,34 +257,36 @@
 		return r.accept(now, k, t)
 	}
 	switch {
-	case published.startedAt > k.lastWrite.startedAt:
-	case published.startedAt < k.lastWrite.startedAt:
+	case published.startedAt > k.lastWrite().startedAt:
+	case published.startedAt < k.lastWrite().startedAt:
 		return r.hold(k, t.Revision, HeldNewer)
-	case k.target.Removed && (!k.inCopy || !published.after(k.copied)):
-		if !k.inCopy {
-			k.copied, k.inCopy = published, true
-			r.rereadDue = true
-		}
+	case k.target.Removed && !r.publishedSinceCopy(t.Name, published):
 		return r.hold(k, t.Revision, HeldNewer)
-	case !k.target.Removed && k.lastWrite.after(published):
+	case !k.target.Removed && k.lastWrite().after(published):
 		return r.hold(k, t.Revision, HeldNewer)
 	}
 	return r.accept(now, k, t)
 }
 
+// publishedSinceCopy reports whether a target that was known to be gone has published
+// since the copy was taken. The first write seen in an era is that of the copy.
+func (r *Reconciler) publishedSinceCopy(name string, published write) bool {
+	copied, known := r.copied[name]
+	if !known {
+		r.copied[name] = published
+		r.rereadDue = true
+	}
+	return known && published.after(copied)
+}
+
 // accept makes t the known record of its target.
 func (r *Reconciler) accept(now time.Time, k *knowledge, t *Target) *Target {
 	if t.Removed {
 		return r.remove(now, k, t)
 	}
-	if k == nil {
-		k = &knowledge{}
-		r.known[t.Name] = k
-	}
 	r.setTarget(k, t)
-	k.lastWrite = writeOf(t)
 	if t.Held == NotHeld {
-		k.inCopy = false
+		delete(r.copied, t.Name)
 	}
 	return t
 }
@@ -283,17 +294,13 @@
 // remove records that a target is gone. It keeps the last known write in the record, for
 // instances that learn of the target from this one.
 func (r *Reconciler) remove(now time.Time, k *knowledge, t *Target) *Target {
-	if k == nil {
-		k = &knowledge{lastWrite: writeOf(t)}
-		r.known[t.Name] = k
-		if t.CopySeq != 0 {
-			k.copied, k.inCopy = write{t.Record.StartedAt, t.CopySeq}, true
-		}
+	if k == nil && t.CopySeq != 0 {
+		r.copied[t.Name] = write{t.Record.StartedAt, t.CopySeq}
 	}
-	if k.target == nil || !k.target.Removed {
+	if k == nil || !k.target.Removed {
 		r.removals = append(r.removals, removal{t.Name, now})
 	}
-	if k.target != nil && t.Record.Name == "" {
+	if k != nil && t.Record.Name == "" {
 		gone := *t
 		gone.Record = k.target.Record
 		t = &gone
@@ -305,22 +312,24 @@
 // hold delivers the known record with the revision of the published one.
 func (r *Reconciler) hold(k *knowledge, revision uint64, reason HoldReason) *Target {
 	t := *k.target
-	t.Revision, t.Held, t.CopySeq = revision, reason, 0
-	if k.inCopy {
-		t.CopySeq = k.copied.seq
-	}
+	t.Revision, t.Held, t.CopySeq = revision, reason, r.copied[t.Name].seq
 	r.setTarget(k, &t)
 	return &t
 }
 
+// setTarget replaces the known target k, which may be nil, by t.
 func (r *Reconciler) setTarget(k *knowledge, t *Target) {
-	if k.target != nil && k.target.Held == HeldMissing {
-		r.missing--
+	list := uint32(0)
+	if k != nil {
+		list = k.list
+		if k.target.Held == HeldMissing {
+			r.missing--
+		}
 	}
 	if t.Held == HeldMissing {
 		r.missing++
 	}
-	k.target = t
+	r.known[t.Name] = knowledge{t, list}
 }
 
 // releaseReusedAddresses removes the missing targets at whose address another one has
@@ -338,7 +347,7 @@
 	}
 	for i, t := range u.Targets {
 		if t.Held == HeldMissing && startedAt[t.Record.Address.String()] > t.Record.StartedAt {
-			u.Targets[i] = r.remove(now, r.known[t.Name], &Target{Name: t.Name, Revision: u.Revision, Removed: true})
+			u.Targets[i] = r.remove(now, r.lookup(t.Name), &Target{Name: t.Name, Revision: u.Revision, Removed: true})
 		}
 	}
 }
@@ -352,7 +361,7 @@
 	u := &Update{Era: r.position.Era, Revision: r.position.Revision, EraAge: now.Sub(r.eraBegan)}
 	for name, k := range r.known {
 		if k.target.Held == HeldMissing {
-			u.Targets = append(u.Targets, r.remove(now, k, &Target{Name: name, Revision: u.Revision, Removed: true}))
+			u.Targets = append(u.Targets, r.remove(now, &k, &Target{Name: name, Revision: u.Revision, Removed: true}))
 		}
 	}
 	return u
@@ -379,8 +388,9 @@
 	for len(r.removals) > 0 && now.Sub(r.removals[0].at) >= RemovalMemory {
 		name := r.removals[0].name
 		r.removals = r.removals[1:]
-		if k := r.known[name]; k != nil && k.target.Removed && !r.removedLater(name) {
+		if k := r.lookup(name); k != nil && k.target.Removed && !r.removedLater(name) {
 			delete(r.known, name)
+			delete(r.copied, name)
 		}
 	}
 }
