--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -111,18 +111,21 @@
 
 // TestDemo runs a fixed series of events and counts the failures that callers and
 // backend servers observe. make demo runs it. Guards against a planned stop, a
-// drain or a kill that resets a flow, leaves its requests without a response or
-// delivers its packets to another flow.
+// drain, a kill or a restore of the store that resets a flow, leaves its requests
+// without a response or delivers its packets to another flow.
 func TestDemo(t *testing.T) {
 	s := newSoak(t, 0, 2, demoRequestTimeout)
-	s.runLoad(16*time.Second, func() {
+	s.runLoad(20*time.Second, func() {
 		time.Sleep(2 * time.Second)
 		t.Log("planned stop of a-0")
 		s.stop(s.instances[0], time.Second)
+		s.store.Copy()
 		t.Log("drain of a counter server")
 		s.drain(s.servers["i-00000001"])
 		t.Log("kill of b-2")
 		s.kill(s.instances[2], 2*time.Second)
+		t.Log("restore of the store from its copy of before the drain")
+		s.restoreFromCopy()
 	})
 	t.Logf("served %v; flows reset %d, silent %d; crossed and repeated: see failures", s.servedCount, s.resetCount, s.timeoutCount)
 	assert.Equal(t, s.resetCount, 0)
