--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -101,6 +101,19 @@
 	assert.DeepEqual(t, got[1].Targets, []*Target{target("a", 8), target("b", 9)})
 }
 
+// Guards against a late response of an earlier era that is taken for news, and against one
+// without an era that is not.
+func TestLateResponseOfEarlierEra(t *testing.T) {
+	s, got := runFollower(t,
+		response{update: Update{Complete: true, Era: 4, Revision: 500}},
+		response{update: Update{Era: 3, Revision: 1000, Targets: []*Target{target("a", 1000)}}},
+		response{update: Update{Revision: 501, Targets: []*Target{target("b", 501)}}},
+	)
+	assert.Equal(t, len(got), 2)
+	assert.Equal(t, got[1].Position(), Position{4, 501})
+	assert.DeepEqual(t, s.afters, []uint64{0, 500, 500, 501})
+}
+
 // Guards against reads that exceed the time within which a change must be in force, in
 // the worst case of a connection that becomes unresponsive.
 func TestTimingFitsBound(t *testing.T) {
