restore: removed targets learned from another instance are not held, and its age is told

Read again as a newcomer: an instance that learned of removed targets from another one counted them as held until the next full list, and delivered removals after a restore, and a late answer, as if the platform had just confirmed the state.

--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -81,6 +81,8 @@
 	// late gets the answer of another instance that did not come within
 	// startPeerTimeout; nil if none is expected.
 	late chan *follow.Update
+	// askedAt is when the others were asked.
+	askedAt time.Time
 
 	seedsLost bool // used by Announce only
 
--- a/internal/fanout/start.go
+++ b/internal/fanout/start.go
@@ -62,6 +62,7 @@
 // beyond it. An answer that takes too long is returned by ReadChanges.
 func (s *Source) completeFromPeers(ctx context.Context, u *follow.Update) {
 	known := make(chan *follow.Update, 1)
+	s.askedAt = time.Now()
 	go s.askPeers(context.WithoutCancel(ctx), *u, known)
 	select {
 	case peer := <-known:
@@ -123,7 +124,7 @@
 	}
 	peer := <-s.late // within latePeerTimeout
 	s.late = nil
-	u := follow.Update{Era: after.Era, Revision: after.Revision, Direct: true}
+	u := follow.Update{Era: after.Era, Revision: after.Revision, Direct: true, Age: time.Since(s.askedAt)}
 	addKnowledge(&u, peer)
 	return u, peer != nil
 }
--- a/internal/fanout/state.go
+++ b/internal/fanout/state.go
@@ -128,9 +128,7 @@
 		s.held++
 	}
 	if t.Removed && !t.Unreadable && t.Held == follow.NotHeld {
-		if old != nil {
-			s.remember(old)
-		}
+		s.remember(t)
 		delete(s.targets, t.Name)
 		return
 	}
@@ -138,7 +136,7 @@
 	delete(s.removed, t.Name)
 }
 
-// remember keeps a target that is removed.
+// remember keeps the last record of a target that is removed.
 func (s *State) remember(t *follow.Target) {
 	if t.Record.Name != "" {
 		s.removed[t.Name] = removedTarget{&follow.Target{Name: t.Name, Removed: true, Held: follow.HeldNewer, Record: t.Record, CopySeq: t.CopySeq}, time.Now()}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -43,8 +43,8 @@
 	// platform and not what is published. A held target that is removed has its last
 	// known Record.
 	Held HoldReason `cbor:"6,keyasint,omitempty"`
-	// CopySeq is the number of writes in the record that the restored copy has of a
-	// held target, 0 if it has none.
+	// CopySeq is one more than the number of writes in the record that the restored copy
+	// has of a target known to be gone, 0 if it has none.
 	CopySeq int64 `cbor:"7,keyasint,omitempty"`
 }
 
@@ -147,8 +147,9 @@
 	deliver     func(Update)
 	log         *slog.Logger
 	reconciler  *Reconciler
-	synced      bool // a full read has succeeded and its history is still available
-	direct      bool // the last update was read from the platform
+	synced      bool      // a full read has succeeded and its history is still available
+	direct      bool      // the last update was read from the platform
+	confirmedAt time.Time // when what is known was last confirmed to be up to date
 	failures    int
 	outageStart time.Time
 }
@@ -177,6 +178,7 @@
 // expire delivers the removals that are due because of a restore.
 func (f *Follower) expire() {
 	if u := f.reconciler.Expire(time.Now()); u != nil {
+		u.Age = time.Since(f.confirmedAt)
 		f.log.Warn("restored-targets-expired", "targets", len(u.Targets), "era", u.Era, "revision", u.Revision)
 		f.deliver(*u)
 	}
@@ -231,7 +233,7 @@
 	for _, i := range u.Invalid {
 		f.log.Warn("entry-invalid", "key", i.Key, "revision", i.Revision, "error", i.Err)
 	}
-	f.synced, f.direct = true, u.Direct
+	f.synced, f.direct, f.confirmedAt = true, u.Direct, time.Now().Add(-u.Age)
 	f.deliver(*u)
 }
 
--- a/internal/follow/reconcile.go
+++ b/internal/follow/reconcile.go
@@ -294,8 +294,14 @@
 // remove records that a target is gone. It keeps the last known write in the record, for
 // instances that learn of the target from this one.
 func (r *Reconciler) remove(now time.Time, k *knowledge, t *Target) *Target {
-	if k == nil && t.CopySeq != 0 {
-		r.copied[t.Name] = write{t.Record.StartedAt, t.CopySeq}
+	switch {
+	case t.Held == NotHeld:
+	case t.CopySeq == 0: // not in the copy, so nothing published contradicts it
+		gone := *t
+		gone.Held = NotHeld
+		t = &gone
+	case k == nil:
+		r.copied[t.Name] = write{t.Record.StartedAt, t.CopySeq - 1}
 	}
 	if k == nil || !k.target.Removed {
 		r.removals = append(r.removals, removal{t.Name, now})
@@ -312,7 +318,10 @@
 // hold delivers the known record with the revision of the published one.
 func (r *Reconciler) hold(k *knowledge, revision uint64, reason HoldReason) *Target {
 	t := *k.target
-	t.Revision, t.Held, t.CopySeq = revision, reason, r.copied[t.Name].seq
+	t.Revision, t.Held, t.CopySeq = revision, reason, 0
+	if copied, ok := r.copied[t.Name]; ok {
+		t.CopySeq = copied.seq + 1
+	}
 	r.setTarget(k, &t)
 	return &t
 }
--- a/internal/follow/reconcile_test.go
+++ b/internal/follow/reconcile_test.go
@@ -158,6 +158,18 @@
 	assert.Equal(t, inForce(t, r, epoch.Add(rereadDelay), Update{Complete: true, Era: 4, Revision: 510, Targets: []*Target{written(480, 5, 34, false)}}), "ready")
 }
 
+// Guards against removed targets of another instance that count as held for ever although
+// nothing published contradicts their removal.
+func TestRemovedTargetOfPeerIsNotHeld(t *testing.T) {
+	r := NewReconciler()
+	gone := written(900, 5, 3, false)
+	gone.Removed, gone.Held = true, HeldNewer
+	assert.Equal(t, inForce(t, r, epoch, Update{Complete: true, Era: 3, Revision: 900, Targets: []*Target{gone}}), "gone")
+	assert.Equal(t, r.Held(), 0)
+	assert.Equal(t, inForce(t, r, epoch, Update{Complete: true, Era: 4, Revision: 500, Targets: []*Target{written(480, 5, 3, false)}}), "gone")
+	assert.Equal(t, r.Held(), 1)
+}
+
 // Guards against what one instance knows being lost on the way to an instance that
 // starts after the restore and has only the copy.
 func TestStarterLearnsHeldRecords(t *testing.T) {
@@ -183,6 +195,7 @@
 			assert.Assert(t, old.Apply(epoch, &u))
 			passed := Update{Complete: true, Era: 4, Revision: 500, Targets: slices.Clone(u.Targets), EraAge: time.Second}
 			assert.Equal(t, inForce(t, starter, epoch.Add(time.Second), passed), c.want)
+			assert.Equal(t, starter.Held(), 1)
 			late := NewReconciler()
 			copied := Update{Complete: true, Era: 4, Revision: 500}
 			if c.copied != nil {
