--- a/internal/follow/reconcile_test.go
+++ b/internal/follow/reconcile_test.go
@@ -117,6 +117,8 @@
 	u = Update{Revision: 301, Config: &passthrough.Config{Version: 9}} // no era: that of the last update
 	assert.Assert(t, r.Apply(epoch, &u) && u.Config != nil && !u.Restored)
 	assert.Equal(t, r.Position(), Position{5, 301})
+	u = Update{Complete: true, Era: 5, Revision: 300}
+	assert.Assert(t, !r.Apply(epoch, &u), "a full state that lies behind in the same era")
 }
 
 // Guards against an address that is held for a missing target after another one has
