A starting instance hears all neighbours before it believes that none knows more

Read again as a newcomer: the first answer ended the question, also that of an instance which had itself started after the restore (TestStarterAsksBeforeItBelievesCopy, red before).

--- a/internal/fanout/restore_test.go
+++ b/internal/fanout/restore_test.go
@@ -73,9 +73,10 @@
 	p.revision.Store(500)
 	p.era.Store(4)
 	other := newNode(t, "o", p)
+	var first []Instance // instances that are asked before the other one
 	start := func() follow.Update {
 		n := newNode(t, "n", p)
-		n.source.setRanking(Ranking{Sources: []Instance{{"o", other.address()}}})
+		n.source.setRanking(Ranking{Sources: append(slices.Clone(first), Instance{"o", other.address()})})
 		u, err := n.source.ReadAll(context.Background(), time.Second)
 		assert.NilError(t, err)
 		return u
@@ -93,6 +94,9 @@
 	other = behind
 	assert.Equal(t, start().Config.Version, uint64(6), "an instance that is behind knows nothing more")
 	other = ahead
+	first = []Instance{{"b", behind.address()}}
+	other.delay.Store(int64(20 * time.Millisecond))
+	assert.Equal(t, start().Before.Config.Version, uint64(7), "nor does it keep others from being heard")
 
 	held := target("gone", 450, true)
 	held.Held = follow.HeldNewer
--- a/internal/fanout/source_test.go
+++ b/internal/fanout/source_test.go
@@ -89,6 +89,7 @@
 	server *httptest.Server
 	dir    *Directory
 	reads  atomic.Int64 // reads of its state by other instances
+	delay  atomic.Int64 // of its responses to them, nanoseconds
 }
 
 func newNode(t *testing.T, id ids.Instance, p follow.Source) *node {
@@ -98,6 +99,7 @@
 	n.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == updatesPath {
 			n.reads.Add(1)
+			time.Sleep(time.Duration(n.delay.Load()))
 		}
 		mux.ServeHTTP(w, r)
 	}))
--- a/internal/fanout/start.go
+++ b/internal/fanout/start.go
@@ -107,8 +107,7 @@
 		case peer.ConfigDelta != nil && peer.ConfigDelta.Version > version && peer.ConfigDelta.Base == version:
 			peer.Config, peer.ConfigDelta = applyDelta(u.Config, peer.ConfigDelta), nil
 		default:
-			known <- nil
-			return
+			continue // it may have started after the restore too
 		}
 		known <- peer
 		return
