follow: a target takes 128 bytes again

Cause: the records had grown from 128 to 152 bytes, which the allocator rounds to 160, for 29,000 targets in each state that is alive. TestTargetSize.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -30,22 +30,23 @@
 // for a full state that lies behind in the same era.
 var ErrOutdated = eris.New("response is older than what is known")
 
-// Target is the published record of a backend server, or its removal.
+// Target is the published record of a backend server, or its removal. Small fields stand
+// together: an instance keeps up to 29,000 of them, of 128 bytes each.
 type Target struct {
 	Name     string `cbor:"1,keyasint,omitempty"`
 	Revision uint64 `cbor:"2,keyasint,omitempty"` // revision of its last change
 	Removed  bool   `cbor:"3,keyasint,omitempty"`
 	// Unreadable is set, together with Removed, when the entry of the backend server
 	// exists but cannot be decoded. The server may be alive.
-	Unreadable bool                     `cbor:"4,keyasint,omitempty"`
-	Record     passthrough.TargetRecord `cbor:"5,keyasint,omitempty"`
+	Unreadable bool `cbor:"4,keyasint,omitempty"`
 	// Held is set when Record, or Removed, is what was known before a restore of the
 	// platform and not what is published. A held target that is removed has its last
 	// known Record.
 	Held HoldReason `cbor:"6,keyasint,omitempty"`
 	// CopySeq is one more than the number of writes in the record that the restored copy
 	// has of a target known to be gone, 0 if it has none.
-	CopySeq int64 `cbor:"7,keyasint,omitempty"`
+	CopySeq uint32                   `cbor:"7,keyasint,omitempty"`
+	Record  passthrough.TargetRecord `cbor:"5,keyasint,omitempty"`
 }
 
 // InvalidEntry is a published entry that could not be decoded.
--- a/internal/follow/reconcile.go
+++ b/internal/follow/reconcile.go
@@ -202,6 +202,9 @@
 // applyComplete reconciles a full list of targets and adds the held ones to it.
 func (r *Reconciler) applyComplete(now time.Time, u *Update) {
 	r.lists++
+	if len(r.known) == 0 {
+		r.known = make(map[string]knowledge, len(u.Targets))
+	}
 	for i, t := range u.Targets {
 		k := r.lookup(t.Name)
 		held := k != nil && (u.Restored || k.target.Held != NotHeld)
@@ -301,7 +304,7 @@
 		gone.Held = NotHeld
 		t = &gone
 	case k == nil:
-		r.copied[t.Name] = write{t.Record.StartedAt, t.CopySeq - 1}
+		r.copied[t.Name] = write{t.Record.StartedAt, int64(t.CopySeq) - 1}
 	}
 	if k == nil || !k.target.Removed {
 		r.removals = append(r.removals, removal{t.Name, now})
@@ -320,7 +323,7 @@
 	t := *k.target
 	t.Revision, t.Held, t.CopySeq = revision, reason, 0
 	if copied, ok := r.copied[t.Name]; ok {
-		t.CopySeq = copied.seq + 1
+		t.CopySeq = uint32(copied.seq + 1)
 	}
 	r.setTarget(k, &t)
 	return &t
--- a/internal/follow/reconcile_test.go
+++ b/internal/follow/reconcile_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"testing"
 	"time"
+	"unsafe"
 
 	"gotest.tools/v3/assert"
 
@@ -104,6 +105,11 @@
 	}
 }
 
+// Guards against a record that grows: 29,000 of 160 bytes took a megabyte more.
+func TestTargetSize(t *testing.T) {
+	assert.Assert(t, unsafe.Sizeof(Target{}) <= 128, "%d bytes", unsafe.Sizeof(Target{}))
+}
+
 // Guards against a configuration that goes back with the platform, and against an update
 // of an earlier era that is taken for news.
 func TestEraNeverGoesBack(t *testing.T) {
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -13,9 +13,9 @@
 	Identity   uint64         `cbor:"2,keyasint,omitempty"` // number that identifies the backend server in datagrams
 	Service    ids.Service    `cbor:"3,keyasint,omitempty"`
 	Address    Endpoint       `cbor:"4,keyasint,omitempty"`
-	DataCentre ids.DataCentre `cbor:"5,keyasint,omitempty"`
-	Slots      int            `cbor:"6,keyasint,omitempty"` // number of requests that it runs concurrently
 	Draining   bool           `cbor:"7,keyasint,omitempty"`
+	DataCentre ids.DataCentre `cbor:"5,keyasint,omitempty"`
+	Slots      int            `cbor:"6,keyasint,omitempty"`  // number of requests that it runs concurrently
 	SlowStart  time.Duration  `cbor:"8,keyasint,omitempty"`  // remaining time of its slow start
 	StartedAt  int64          `cbor:"9,keyasint,omitempty"`  // start time of this incarnation in Unix milliseconds; 0 if not published
 	Seq        int64          `cbor:"10,keyasint,omitempty"` // number of times that this incarnation has published its record
