--- a/soak/size_test.go
+++ b/soak/size_test.go
@@ -65,14 +65,22 @@
 	}
 }
 
-func readState(t *testing.T, i *instance) (s forwarder.State) {
-	response, err := http.Get(fmt.Sprintf("http://%s:%d/v1/state", i.addr, metricsPort))
+func readState(t *testing.T, i *instance) forwarder.State {
+	s, err := requestState(i)
 	assert.NilError(t, err)
-	defer func() { _ = response.Body.Close() }()
-	assert.NilError(t, json.NewDecoder(response.Body).Decode(&s))
 	return s
 }
 
+// requestState reads the state of an instance, which may be starting or stopped.
+func requestState(i *instance) (s forwarder.State, err error) {
+	response, err := http.Get(fmt.Sprintf("http://%s:%d/v1/state", i.addr, metricsPort))
+	if err != nil {
+		return s, err
+	}
+	defer func() { _ = response.Body.Close() }() // the body has been read or is discarded
+	return s, json.NewDecoder(response.Body).Decode(&s)
+}
+
 // peakMemory returns the greatest resident size of a process, in bytes.
 func peakMemory(t *testing.T, pid int) int {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
