--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -185,10 +185,10 @@
 		}
 		if len(u.Targets) > 0 || u.Complete || u.Config != nil || u.ConfigDelta != nil {
 			c.close() // the content is discarded and must be sent again
-			return u, errStale
+			return u, eris.Wrapf(errStale, "age %s, at most %s", u.Age.Round(time.Millisecond), s.config.MaxAge)
 		}
 		if !s.outage || time.Since(start) >= staleSourceWait {
-			return u, errStale
+			return u, eris.Wrapf(errStale, "age %s, at most %s", u.Age.Round(time.Millisecond), s.config.MaxAge)
 		}
 		after = u.Position()
 	}
--- a/internal/forwarder/forward.go
+++ b/internal/forwarder/forward.go
@@ -64,7 +64,7 @@
 // configuration.
 func (f *Forwarder) apply(u *follow.Update) {
 	now := f.clock.now()
-	f.updatedAt = now.Add(-u.Age)
+	f.formerAge, f.updatedAt = now.Sub(f.updatedAt), now.Add(-u.Age)
 	if u.AfterOutage {
 		f.core.PlatformRecovered(now)
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -67,7 +67,8 @@
 	placementLimiter lineLimiter // limits log lines about ordinary placements
 	exceptionLimiter lineLimiter // limits log lines about all other decisions
 
-	updatedAt  ids.Time // when the state was last confirmed to be up to date; used by the forwarding goroutine
+	updatedAt  ids.Time      // when the state was last confirmed to be up to date; used by the forwarding goroutine
+	formerAge  time.Duration // age of the state before the last update; used by the forwarding goroutine
 	reload     *reload.Watcher
 	lifecycle  atomic.Uint32 // a chart.State of chart.Instance
 	lastPacket atomic.Int64  // time of the last packet, an ids.Time
--- a/internal/forwarder/report.go
+++ b/internal/forwarder/report.go
@@ -78,7 +78,8 @@
 	f.core.TakeEvents(func(e passthrough.Event) {
 		switch e.Kind {
 		case passthrough.ConfigApplied:
-			f.log.Info(e.Kind.String(), "version", e.Version, "old", e.OldVersion, "routes", e.Routes)
+			f.log.Info(e.Kind.String(), "version", e.Version, "old", e.OldVersion, "routes", e.Routes,
+				"source", f.sourceName(), "former_news_age", f.formerAge.Round(time.Millisecond))
 		case passthrough.TargetChanged:
 			f.log.Info(e.Kind.String(), "target", e.Target, "service", e.Service, "state", e.Reason, "address", e.Address)
 		default:
--- a/internal/httpget/httpget.go
+++ b/internal/httpget/httpget.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -68,7 +69,8 @@
 // may have become unresponsive. The error is context.DeadlineExceeded for a response
 // that does not begin or stalls, a *StatusError for a status other than 200,
 // ErrTooLarge for a response above the size limit, or the error of the connection or
-// the decoder. All but ErrTooLarge name the server.
+// the decoder. All but ErrTooLarge name the server; those without a response also tell
+// how long a connection that was used before had been idle.
 func (c *Client) Get(ctx context.Context, path string, timeout time.Duration, body any) error {
 	return c.GetWithHeader(ctx, path, timeout, body, func(http.Header) {})
 }
@@ -78,11 +80,16 @@
 func (c *Client) GetWithHeader(ctx context.Context, path string, timeout time.Duration, body any, header func(http.Header)) error {
 	ctx, monitor, stop := progress.Watch(ctx, timeout)
 	defer stop()
+	var conn httptrace.GotConnInfo
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { conn = i }})
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
 	if err != nil {
 		return eris.Wrap(err, "build request")
 	}
 	response, err := c.http.Do(request)
+	if err != nil && conn.Reused {
+		return eris.Wrapf(err, "read from %s over a connection that was idle for %s", c.base, conn.IdleTime.Round(time.Millisecond))
+	}
 	if err != nil {
 		return eris.Wrapf(err, "read from %s", c.base)
 	}
--- a/internal/httpget/httpget_test.go
+++ b/internal/httpget/httpget_test.go
@@ -14,8 +14,8 @@
 )
 
 // Guards against accepting a response that is too large, late, redirected, of another
-// status or not JSON, against errors that do not name the server, and against aborting
-// the transfer of a body while it makes progress.
+// status or not JSON, against errors that do not name the server or the use of a silent
+// connection, and against aborting the transfer of a body while it makes progress.
 func TestGet(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
@@ -59,6 +59,8 @@
 	assert.ErrorContains(t, get("/down"), "read from "+s.URL+": status 503")
 	assert.ErrorContains(t, get("/text"), "decode body from "+s.URL)
 	assert.ErrorIs(t, get("/slow"), context.DeadlineExceeded)
+	assert.NilError(t, get("/good"))
+	assert.ErrorContains(t, get("/slow"), "read from "+s.URL+" over a connection that was idle for ")
 	assert.NilError(t, get("/piecemeal"))
 	assert.ErrorIs(t, get("/broken"), context.DeadlineExceeded)
 }
