--- a/internal/documents/documents.go
+++ b/internal/documents/documents.go
@@ -60,7 +60,7 @@
 	if random == nil {
 		random = rand.Float64
 	}
-	return &Client{http: httpget.New(base, MaxBodyBytes), random: random}
+	return &Client{http: httpget.New(base, MaxBodyBytes, httpget.ContinuousReads), random: random}
 }
 
 // Page is one page of published documents.
--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -21,6 +21,9 @@
 	peerRetryInterval = 3 * time.Second
 	// maxRankingBytes bounds the size of the response of a seed.
 	maxRankingBytes = 64 << 10
+	// seedMaxIdle is the time for which the connection to a seed is kept between two
+	// announcements. One that has gone silent costs a single announcement.
+	seedMaxIdle = time.Minute
 )
 
 // platformName is the source name of the platform in logs and metrics.
@@ -100,7 +103,7 @@
 	s := &Source{config: c, platform: platform, clients: map[ids.Instance]*client{}, failedAt: map[ids.Instance]time.Time{}}
 	s.currentSource.Store("")
 	for _, seed := range c.Seeds {
-		s.seeds = append(s.seeds, httpget.New("http://"+seed, maxRankingBytes))
+		s.seeds = append(s.seeds, httpget.New("http://"+seed, maxRankingBytes, seedMaxIdle))
 	}
 	return s
 }
--- a/internal/fanout/source_test.go
+++ b/internal/fanout/source_test.go
@@ -327,7 +327,7 @@
 	seed, survivor, starter := newNode(t, "s", p), newNode(t, "v", p), newNode(t, "n", p)
 	survivor.state.Apply(&follow.Update{Complete: true, Revision: 7, Age: 2 * outageAge})
 	for _, n := range []*node{survivor, starter} {
-		n.source.seeds = []*httpget.Client{httpget.New(seed.server.URL, maxRankingBytes)}
+		n.source.seeds = []*httpget.Client{httpget.New(seed.server.URL, maxRankingBytes, seedMaxIdle)}
 		n.source.config.Seeds = []string{seed.address().String()}
 	}
 	assert.Assert(t, !survivor.source.urgent(time.Time{}) && survivor.source.urgent(time.Now()))
--- a/internal/httpget/httpget.go
+++ b/internal/httpget/httpget.go
@@ -35,6 +35,10 @@
 // milliseconds; one behind a network partition does not respond at all.
 const connectTimeout = 700 * time.Millisecond
 
+// ContinuousReads is the maxIdle of a client that waits for changes in one read after the
+// other. Its pauses between two reads, and before a retry, are at most 0.6 s.
+const ContinuousReads = time.Second
+
 // Client reads from one base URL. It is safe for concurrent use.
 type Client struct {
 	base    string
@@ -43,15 +47,17 @@
 }
 
 // New returns a client for base, an http or https URL without a trailing slash.
-// maxBody is the maximum size of a response body in bytes.
-func New(base string, maxBody int64) *Client {
+// maxBody is the maximum size of a response body in bytes. A connection that has been
+// idle for longer than maxIdle is not used again: it may have gone silent meanwhile,
+// which only the timeout of a request would show.
+func New(base string, maxBody int64, maxIdle time.Duration) *Client {
 	return &Client{
 		base:    base,
 		maxBody: maxBody,
 		http: &http.Client{
 			Transport: &http.Transport{
 				MaxIdleConnsPerHost: 2,
-				IdleConnTimeout:     time.Minute,
+				IdleConnTimeout:     maxIdle,
 				DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/httpget/httpget_test.go
+++ b/internal/httpget/httpget_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -44,7 +45,7 @@
 		}
 	}))
 	defer s.Close()
-	c := New(s.URL, 100)
+	c := New(s.URL, 100, time.Minute)
 	get := func(path string) error {
 		var body struct{ N int }
 		err := c.Get(context.Background(), path, 100*time.Millisecond, &body)
@@ -64,3 +65,33 @@
 	assert.NilError(t, get("/piecemeal"))
 	assert.ErrorIs(t, get("/broken"), context.DeadlineExceeded)
 }
+
+// Guards against a request that waits for its timeout on a connection that has gone
+// silent while it was idle.
+func TestIdleConnectionIsNotReused(t *testing.T) {
+	const maxIdle = 50 * time.Millisecond
+	used := map[string]bool{} // connections that have served a request, by the address of the client
+	var mu sync.Mutex
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		silent := used[r.RemoteAddr]
+		used[r.RemoteAddr] = true
+		mu.Unlock()
+		if silent {
+			<-r.Context().Done()
+			return
+		}
+		_, _ = io.WriteString(w, "{}")
+	}))
+	defer s.Close()
+	c := New(s.URL, 100, maxIdle)
+	get := func() error {
+		var body struct{}
+		return c.Get(context.Background(), "/", 100*time.Millisecond, &body)
+	}
+	assert.NilError(t, get())
+	assert.ErrorIs(t, get(), context.DeadlineExceeded) // reused at once, and silent
+	assert.NilError(t, get())
+	time.Sleep(2 * maxIdle)
+	assert.NilError(t, get())
+}
--- a/soak/silence_test.go
+++ b/soak/silence_test.go
@@ -57,6 +57,7 @@
 		})
 	}
 	reads.Wait()
+	f.t.Logf("version %d was in force everywhere after %s", version, time.Since(begin))
 }
 
 // maxApplyWait bounds the wait for a version that does not come into force at all.
