--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -132,9 +132,14 @@
 }
 
 // readPeers reads the next update from the first source that is up to date. It returns
-// false if there is none.
+// false if there is none, or none responds before the own state is too old.
 func (s *Source) readPeers(ctx context.Context, after follow.Position) (follow.Update, bool) {
+	peersCtx, cancel := s.untilTooOld(ctx)
+	defer cancel()
 	for _, i := range s.sources() {
+		if peersCtx.Err() != nil {
+			break
+		}
 		if time.Since(s.failedAt[i.ID]) < peerRetryInterval {
 			continue
 		}
@@ -143,7 +148,7 @@
 			c = &client{instance: i, configVersion: s.config.State.Version}
 			s.clients[i.ID] = c
 		}
-		u, err := s.readFresh(ctx, c, after)
+		u, err := s.readFresh(peersCtx, c, after)
 		s.config.OnRead("instance", err)
 		if errors.Is(err, errStale) && s.outage {
 			// The source is followed again after the next attempt to read the platform.
@@ -171,6 +176,19 @@
 	return follow.Update{}, false
 }
 
+// untilTooOld returns a context that ends when the own state reaches the age at which the
+// platform has to be read. Each source may be silent for a while before it is given up;
+// without a common limit these times would add up. During an outage there is no limit, as
+// reading the platform does not help.
+func (s *Source) untilTooOld(ctx context.Context) (context.Context, context.CancelFunc) {
+	age, ok := s.config.State.Age()
+	if !ok || s.outage {
+		return context.WithCancel(ctx)
+	}
+	// A state of MaxAge is confirmed again by the next message, one interval later.
+	return context.WithTimeout(ctx, s.config.MaxAge+heartbeatInterval-age)
+}
+
 // readFresh reads the next update from an instance and returns errStale if its state
 // is older than MaxAge. During an outage it first waits up to staleSourceWait for a
 // fresh one: the first instance that reaches the platform again passes the update on,
--- a/internal/fanout/source_test.go
+++ b/internal/fanout/source_test.go
@@ -152,6 +152,30 @@
 	assert.Equal(t, p.reads.Load(), int64(4), "it is not asked again at once")
 }
 
+// Guards against an instance that gives each of its sources the whole time in which one
+// may be silent, and reads the platform only after the sum of these times: the sources are
+// so slow that they accept a follower but send it nothing.
+func TestSourcesSilentOneAfterTheOther(t *testing.T) {
+	silent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ws, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		<-ws.CloseRead(r.Context()).Done()
+	}))
+	defer silent.Close()
+	address := netip.MustParseAddrPort(strings.TrimPrefix(silent.URL, "http://"))
+	p := &platformStub{}
+	n := newNode(t, "n", p)
+	n.source.setRanking(Ranking{Sources: []Instance{{"a", address}, {"b", address}, {"c", address}}, Live: 4})
+	n.state.Apply(&follow.Update{Complete: true, Revision: 7})
+	begin := time.Now()
+	n.read(t, 7)
+	took, limit := time.Since(begin), n.source.config.MaxAge+heartbeatInterval
+	assert.Equal(t, p.reads.Load(), int64(1))
+	assert.Assert(t, took < limit+100*time.Millisecond, "the platform was read after %s, at most %s are allowed", took, limit)
+}
+
 // Guards against an instance that does not get a state at start-up while the platform
 // is down, although another instance has it.
 func TestStartWithoutPlatform(t *testing.T) {
