--- a/internal/fanout/client.go
+++ b/internal/fanout/client.go
@@ -72,8 +72,12 @@
 		}
 	}
 	var u follow.Update
+	var firstBegin time.Time // of the first message of the update
 	for received := []*follow.Target(nil); ; received = u.Targets {
-		data, err := c.readMessage(ctx)
+		data, begin, err := c.readMessage(ctx)
+		if firstBegin.IsZero() {
+			firstBegin = begin
+		}
 		if err != nil {
 			c.close()
 			return follow.Update{}, eris.Wrapf(err, "read from instance %s", c.instance.ID)
@@ -96,26 +100,27 @@
 		c.close()
 		return follow.Update{}, eris.Wrapf(errDeltaBase, "instance %s: base version %d", c.instance.ID, d.Base)
 	}
+	u.Age += time.Since(firstBegin)
 	c.position = u.Position()
 	return u, nil
 }
 
-// readMessage reads the next message. The message must begin within
-// livenessTimeout; a large one may then take any time as long as the transfer makes
-// progress. Otherwise the error is context.DeadlineExceeded.
-func (c *client) readMessage(ctx context.Context) ([]byte, error) {
+// readMessage reads the next message and returns the time at which it began. The message
+// must begin within livenessTimeout; a large one may then take any time as long as the
+// transfer makes progress. Otherwise the error is context.DeadlineExceeded.
+func (c *client) readMessage(ctx context.Context) (data []byte, begin time.Time, err error) {
 	ctx, monitor, stop := progress.Watch(ctx, livenessTimeout)
 	defer stop()
 	_, r, err := c.conn.Reader(ctx)
 	if err != nil {
-		return nil, cmp.Or(context.Cause(ctx), err)
+		return nil, begin, cmp.Or(context.Cause(ctx), err)
 	}
+	begin = time.Now()
 	monitor.Begin(livenessTimeout)
-	data, err := io.ReadAll(monitor.Reader(r))
-	if err != nil {
-		return nil, cmp.Or(context.Cause(ctx), err)
+	if data, err = io.ReadAll(monitor.Reader(r)); err != nil {
+		return nil, begin, cmp.Or(context.Cause(ctx), err)
 	}
-	return data, nil
+	return data, begin, nil
 }
 
 func (c *client) dial(ctx context.Context, after follow.Position, starting bool) error {
--- a/internal/fanout/source_test.go
+++ b/internal/fanout/source_test.go
@@ -475,6 +475,28 @@
 	}
 }
 
+// Guards against a state that passes for fresh although its transfer took long: the age
+// that it names is that of its first message.
+func TestAgeIncludesTransfer(t *testing.T) {
+	const age, pause = 10 * time.Millisecond, 60 * time.Millisecond
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ws, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		_ = sendMessage(r.Context(), ws, &follow.Update{More: true, Targets: []*follow.Target{target("a", 5, false)}})
+		time.Sleep(pause)
+		_ = sendMessage(r.Context(), ws, &follow.Update{Complete: true, Revision: 5, Age: age})
+		_ = ws.Close(websocket.StatusNormalClosure, "")
+	}))
+	defer server.Close()
+	c := client{instance: Instance{"n", netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}, configVersion: noVersion}
+	defer c.close()
+	u, err := c.read(context.Background(), follow.Position{})
+	assert.NilError(t, err)
+	assert.Assert(t, u.Age >= age+pause, "age %s, expected at least %s", u.Age, age+pause)
+}
+
 // Guards against an update of several messages that breaks off and is taken as complete:
 // the targets that are missing would count as removed.
 func TestUpdateThatBreaksOff(t *testing.T) {
