--- a/soak/silence_test.go
+++ b/soak/version_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -15,11 +16,7 @@
 	t.Parallel()
 	const rounds = 3
 	f := newFleet(t, 0, 5)
-	publish := func(version int) {
-		at := versionRouteAddress(version)
-		f.store.PutConfig(version, platformtest.Route{IP: at.Addr().String(), Port: int(at.Port()), Service: "slips", Kind: "safe"})
-	}
-	publish(1)
+	f.publishRoute(1)
 	f.awaitVersion(1, beyondRun)
 	for round := range rounds {
 		version := round + 2
@@ -28,11 +25,58 @@
 			i.store.muteOpen()
 			i.control.muteOpen()
 		}
-		publish(version)
+		f.publishRoute(version)
 		f.awaitVersion(version, applyWithin)
 	}
 }
 
+// Guards against a version that is never read since a restored store gave it a revision
+// at which the instances had read something else before.
+func TestVersionAtRevisionGivenOutAgain(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 0, 2)
+	f.publishRoute(1)
+	f.awaitVersion(1, beyondRun)
+	f.store.Copy()
+	f.store.PutRecords(1, 3, "slips", "a")
+	time.Sleep(recoveryTime) // until all instances have read the records
+	f.store.Refuse(http.StatusServiceUnavailable)
+	f.store.Restore()
+	f.publishRoute(2)
+	f.store.PutRecords(1, 6, "slips", "a")
+	f.store.Refuse(0)
+	f.awaitVersion(2, applyWithin)
+}
+
+// Guards against instances that stay at an old version while the platform rejects them,
+// all those of a data centre at once, although other instances can read it.
+func TestChangeWhilePlatformRejectsDataCentre(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 0, 3)
+	f.publishRoute(1)
+	f.awaitVersion(1, beyondRun)
+	for n, mode := range []proxyMode{refuse, silent} {
+		version := n + 2
+		time.Sleep(recoveryTime) // until each instance follows the one above it again
+		for _, i := range f.instances {
+			if i.dc == "a" {
+				i.store.setMode(mode)
+			}
+		}
+		f.publishRoute(version)
+		f.awaitVersion(version, applyWithin)
+		for _, i := range f.instances {
+			i.store.setMode(passAll)
+		}
+	}
+}
+
+// publishRoute publishes a version of the configuration with a route of its own.
+func (f *fleet) publishRoute(version int) {
+	at := versionRouteAddress(version)
+	f.store.PutConfig(version, platformtest.Route{IP: at.Addr().String(), Port: int(at.Port()), Service: "slips", Kind: "safe"})
+}
+
 // awaitVersion waits until all instances have a version in force. It fails the test for
 // each one that takes longer than limit.
 func (f *fleet) awaitVersion(version int, limit time.Duration) {
