--- a/internal/fanout/announce.go
+++ b/internal/fanout/announce.go
@@ -34,6 +34,8 @@
 				if s.urgent(neighbourLostAt) {
 					timer.Reset(s.announceDelay(neighbourLostAt))
 				}
+			case <-s.fallbacksNeeded:
+				timer.Reset(s.fallbacksDelay())
 			case <-timer.C:
 				due = true
 			}
@@ -50,6 +52,14 @@
 	return !ok || age > outageAge && time.Since(neighbourLostAt) < neighbourLossPeriod
 }
 
+// fallbacksDelay returns the jittered time until the announcement with which an instance
+// that has just been cut off from the platform asks for fallbacks.
+func (s *Source) fallbacksDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return rand.N(urgentInterval(s.ranking.Known))
+}
+
 // announceDelay returns the jittered time until the next announcement.
 func (s *Source) announceDelay(neighbourLostAt time.Time) time.Duration {
 	s.mu.Lock()
@@ -68,7 +78,7 @@
 		return
 	}
 	_, holdsState := s.config.State.Age()
-	a := announcement{s.config.DataCentre, s.config.Self, leaving, holdsState}
+	a := announcement{s.config.DataCentre, s.config.Self, leaving, holdsState, s.cutOff.Load()}
 	path := instancesPath + "?" + a.query()
 	var calls sync.WaitGroup
 	var first sync.Once
--- a/internal/fanout/client.go
+++ b/internal/fanout/client.go
@@ -101,6 +101,7 @@
 		return follow.Update{}, eris.Wrapf(errDeltaBase, "instance %s: base version %d", c.instance.ID, d.Base)
 	}
 	u.Age += time.Since(firstBegin)
+	u.Path = append([]uint32{pathHash(c.instance.ID)}, u.Path...)
 	c.position = u.Position()
 	return u, nil
 }
--- a/internal/fanout/directory.go
+++ b/internal/fanout/directory.go
@@ -33,6 +33,11 @@
 	// maxHolders is the number of holders of a state that an instance without one learns
 	// of at a time.
 	maxHolders = 3
+	// maxLocalFallbacks and maxRemoteFallbacks are the numbers of instances, of its own
+	// data centre and of others, that an instance cut off from the platform learns of at
+	// a time.
+	maxLocalFallbacks  = 2
+	maxRemoteFallbacks = 2
 	// rankingKey is hashed with each instance ID, so that this ranking is independent
 	// of other rendezvous rankings of the same instances.
 	rankingKey = "platform-reader"
@@ -129,6 +134,9 @@
 	// Holders are some instances that hold a state, those of the receiver's data centre
 	// first. Only an instance without a state gets them.
 	Holders []Instance `json:",omitempty"`
+	// Fallbacks are some instances to follow while neither the platform nor a source can
+	// be read. Only an instance that is cut off from the platform gets them.
+	Fallbacks []Instance `json:",omitempty"`
 }
 
 // Ranking returns the sources of an instance: its ancestors in a tree built from the
@@ -173,9 +181,27 @@
 // Holders returns up to maxHolders instances that hold a state, chosen at random, those
 // of the data centre dc first.
 func (d *Directory) Holders(dc ids.DataCentre) []Instance {
+	local, remote := d.shuffledHolders(dc)
+	list := append(local, remote...)
+	return list[:min(len(list), maxHolders)]
+}
+
+// Fallbacks returns some instances that hold a state, chosen at random, for the instance
+// id of the data centre dc. Those of other data centres may read the platform although all
+// of dc are cut off from it.
+func (d *Directory) Fallbacks(dc ids.DataCentre, id ids.Instance) []Instance {
+	local, remote := d.shuffledHolders(dc)
+	local = slices.DeleteFunc(local, func(i Instance) bool { return i.ID == id })
+	list := append(local[:min(len(local), maxLocalFallbacks)], remote[:min(len(remote), maxRemoteFallbacks)]...)
+	shuffle(list)
+	return list
+}
+
+// shuffledHolders returns the instances that hold a state, of the data centre dc and of
+// the others, in random order.
+func (d *Directory) shuffledHolders(dc ids.DataCentre) (local, remote []Instance) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var local, remote []Instance
 	for other, l := range d.byDataCentre {
 		for id, e := range l.entries {
 			switch {
@@ -187,11 +213,13 @@
 			}
 		}
 	}
-	for _, list := range [][]Instance{local, remote} {
-		rand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
-	}
-	list := append(local, remote...)
-	return list[:min(len(list), maxHolders)]
+	shuffle(local)
+	shuffle(remote)
+	return local, remote
+}
+
+func shuffle(list []Instance) {
+	rand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
 }
 
 // sweep removes instances that no longer announce themselves. It runs at most once a
--- a/internal/fanout/server.go
+++ b/internal/fanout/server.go
@@ -168,6 +168,7 @@
 	self       Instance
 	leaving    bool
 	holdsState bool
+	cutOff     bool // it cannot read the platform
 }
 
 func (a *announcement) query() string {
@@ -176,6 +177,9 @@
 		q.Set("leaving", "true")
 	}
 	q.Set("state", strconv.FormatBool(a.holdsState))
+	if a.cutOff {
+		q.Set("cut_off", "true")
+	}
 	return q.Encode()
 }
 
@@ -199,6 +203,9 @@
 	if q.Get("state") == "false" {
 		ranking.Holders = s.directory.Holders(ids.DataCentre(dc))
 	}
+	if q.Get("cut_off") == "true" {
+		ranking.Fallbacks = s.directory.Fallbacks(ids.DataCentre(dc), ids.Instance(id))
+	}
 	w.Header().Set("Content-Type", "application/json")
 	// A write error means that the announcing instance has disconnected.
 	_ = json.NewEncoder(w).Encode(ranking)
--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,6 +75,11 @@
 	outage bool
 	// staleSource is the instance most recently found to be stale.
 	staleSource ids.Instance
+	// platformLostAt and platformFailedAt are when the platform failed first and last
+	// since it was read. They are zero while it can be read.
+	platformLostAt, platformFailedAt time.Time
+	// fallback is the fallback that was followed last.
+	fallback Instance
 	// lostPosition is the position after which the platform no longer has the changes.
 	// A state of this position or older is useless, as the platform cannot provide the
 	// changes that follow it.
@@ -89,6 +95,9 @@
 
 	seedsLost bool // used by Announce only
 
+	cutOff          atomic.Bool   // the last read of the platform failed
+	fallbacksNeeded chan struct{} // signalled when it becomes true
+
 	currentSource atomic.Value // string: source of the last update
 }
 
@@ -100,7 +109,7 @@
 	if c.OnRead == nil {
 		c.OnRead = func(string, error) {}
 	}
-	s := &Source{config: c, platform: platform, clients: map[ids.Instance]*client{}, failedAt: map[ids.Instance]time.Time{}}
+	s := &Source{config: c, platform: platform, clients: map[ids.Instance]*client{}, failedAt: map[ids.Instance]time.Time{}, fallbacksNeeded: make(chan struct{}, 1)}
 	s.currentSource.Store("")
 	for _, seed := range c.Seeds {
 		s.seeds = append(s.seeds, httpget.New("http://"+seed, maxRankingBytes, seedMaxIdle))
@@ -117,25 +126,34 @@
 		s.outage = false
 		return u, nil
 	}
+	if s.Current() != platformName {
+		wait, timeout = 0, timeout-wait // it may be silent, and the sources were given time already
+	}
 	u, err := s.platform.ReadChanges(ctx, after, wait, timeout)
 	s.config.OnRead(platformName, err)
 	if s.outage = err != nil; s.outage {
 		delete(s.failedAt, s.staleSource) // follow it again until it or the platform recovers
 	}
-	if errors.Is(err, follow.ErrHistoryLost) || errors.Is(err, follow.ErrRestored) {
+	lost := errors.Is(err, follow.ErrHistoryLost) || errors.Is(err, follow.ErrRestored)
+	if lost {
 		s.lostPosition = after
 	}
+	s.recordPlatformRead(err != nil && !lost)
 	if err == nil {
 		s.setCurrent(platformName, nil)
 	}
 	return u, err
 }
 
-// readPeers reads the next update from the first source that is up to date. It returns
-// false if there is none, or none responds before the own state is too old.
+// readPeers reads the next update from the first instance that is up to date. It returns
+// false if there is none, or none responds before the own state is too old. During an
+// outage it then waits up to staleSourceWait for a stale source: the first instance that
+// reaches the platform again passes the update on, so that the others need not retry the
+// platform.
 func (s *Source) readPeers(ctx context.Context, after follow.Position) (follow.Update, bool) {
 	peersCtx, cancel := s.untilTooOld(ctx)
 	defer cancel()
+	var stale *client
 	for _, i := range s.sources() {
 		if peersCtx.Err() != nil {
 			break
@@ -143,37 +161,64 @@
 		if time.Since(s.failedAt[i.ID]) < peerRetryInterval {
 			continue
 		}
-		c := s.clients[i.ID]
-		if c == nil || c.instance != i {
-			c = &client{instance: i, configVersion: s.config.State.Version}
-			s.clients[i.ID] = c
-		}
-		u, err := s.readFresh(peersCtx, c, after)
-		s.config.OnRead("instance", err)
-		if errors.Is(err, errStale) && s.outage {
-			// The source is followed again after the next attempt to read the platform.
-			s.setCurrent("none", eris.Wrapf(err, "source %s", i.ID))
-			s.closeOthers(i.ID)
-			return follow.Update{}, false
-		}
-		if err != nil {
-			s.failedAt[i.ID] = time.Now()
-			if errors.Is(err, errStale) {
-				s.staleSource = i.ID
-			}
-			c.close()
-			if ctx.Err() == nil {
-				s.config.State.neighbourLost()
-				s.setCurrent("none", eris.Wrapf(err, "source %s", i.ID))
-			}
-			continue
+		c := s.client(i)
+		u, err := s.readFresh(peersCtx, c, after, 0)
+		switch {
+		case err == nil:
+			s.follow(i)
+			return u, true
+		case errors.Is(err, errStale) && s.outage && stale == nil:
+			stale = c
+		default:
+			s.recordPeerFailure(ctx, c, err)
 		}
-		s.setCurrent(string(i.ID), nil)
-		s.closeOthers(i.ID)
+	}
+	if u, ok := s.readFallback(peersCtx, after); ok {
 		return u, true
 	}
-	s.closeOthers("")
-	return follow.Update{}, false
+	if stale == nil {
+		s.closeOthers("")
+		return follow.Update{}, false
+	}
+	u, err := s.readFresh(peersCtx, stale, after, staleSourceWait)
+	if err != nil {
+		// It is followed again after the next attempt to read the platform.
+		s.setCurrent("none", eris.Wrapf(err, "source %s", stale.instance.ID))
+		s.closeOthers(stale.instance.ID)
+		return follow.Update{}, false
+	}
+	s.follow(stale.instance)
+	return u, true
+}
+
+// client returns the client for an instance, which may be connected already.
+func (s *Source) client(i Instance) *client {
+	c := s.clients[i.ID]
+	if c == nil || c.instance != i {
+		c = &client{instance: i, configVersion: s.config.State.Version}
+		s.clients[i.ID] = c
+	}
+	return c
+}
+
+// follow records that an instance is the source of the last update.
+func (s *Source) follow(i Instance) {
+	s.setCurrent(string(i.ID), nil)
+	s.closeOthers(i.ID)
+}
+
+// recordPeerFailure records that an instance cannot be used as a source for a while.
+func (s *Source) recordPeerFailure(ctx context.Context, c *client, err error) {
+	id := c.instance.ID
+	s.failedAt[id] = time.Now()
+	if errors.Is(err, errStale) {
+		s.staleSource = id
+	}
+	c.close()
+	if ctx.Err() == nil {
+		s.config.State.neighbourLost()
+		s.setCurrent("none", eris.Wrapf(err, "source %s", id))
+	}
 }
 
 // untilTooOld returns a context that ends when the own state reaches the age at which the
@@ -190,31 +235,41 @@
 }
 
 // readFresh reads the next update from an instance and returns errStale if its state
-// is older than MaxAge. During an outage it first waits up to staleSourceWait for a
-// fresh one: the first instance that reaches the platform again passes the update on,
-// so that the others need not retry the platform.
-func (s *Source) readFresh(ctx context.Context, c *client, after follow.Position) (follow.Update, error) {
+// is older than MaxAge, and does not become fresh within wait. It returns errCycle if the
+// state of the instance came through this one: both would wait for each other.
+func (s *Source) readFresh(ctx context.Context, c *client, after follow.Position, wait time.Duration) (follow.Update, error) {
 	start := time.Now()
 	for {
 		u, err := c.read(ctx, after)
-		if err == nil && u.Era < after.Era {
+		s.config.OnRead("instance", err)
+		switch {
+		case err != nil:
+			return u, err
+		case u.Era < after.Era:
 			c.close()
 			return u, eris.Wrapf(errStale, "era %d, expected %d", u.Era, after.Era)
+		case slices.Contains(u.Path, pathHash(s.config.Self.ID)):
+			c.close()
+			return u, errCycle
+		case u.Age <= s.config.MaxAge:
+			return u, nil
 		}
-		if err != nil || u.Age <= s.config.MaxAge {
-			return u, err
-		}
-		if len(u.Targets) > 0 || u.Complete || u.Config != nil || u.ConfigDelta != nil {
+		if hasChanges(&u) {
 			c.close() // the content is discarded and must be sent again
 			return u, eris.Wrapf(errStale, "age %s, at most %s", u.Age.Round(time.Millisecond), s.config.MaxAge)
 		}
-		if !s.outage || time.Since(start) >= staleSourceWait {
+		if time.Since(start) >= wait {
 			return u, eris.Wrapf(errStale, "age %s, at most %s", u.Age.Round(time.Millisecond), s.config.MaxAge)
 		}
 		after = u.Position()
 	}
 }
 
+// hasChanges reports whether an update has any content beyond its position and age.
+func hasChanges(u *follow.Update) bool {
+	return u.Complete || len(u.Targets) > 0 || u.Config != nil || u.ConfigDelta != nil
+}
+
 // closeOthers closes the connections to all instances except the one that is
 // followed, as their messages would not be read.
 func (s *Source) closeOthers(followed ids.Instance) {
--- a/internal/fanout/state.go
+++ b/internal/fanout/state.go
@@ -31,6 +31,7 @@
 	changes           []change                  // of the present era, in the order of their revisions
 	compactedRevision uint64                    // changes up to this revision are no longer kept
 	confirmedAt       time.Time                 // when the state was last confirmed to be up to date
+	path              []uint32                  // follow.Update.Path of the last update that was read
 	initialized       bool                      // a full state has been applied
 	changed           chan struct{}             // closed at the next change
 	lostNeighbour     chan struct{}             // signalled when a follower or a source is lost
@@ -112,6 +113,9 @@
 		s.position = u.Position()
 	}
 	s.confirmedAt = time.Now().Add(-u.Age)
+	if u.Direct || len(u.Path) > 0 {
+		s.path = u.Path
+	}
 	if advanced {
 		close(s.changed)
 		s.changed = make(chan struct{})
@@ -198,6 +202,7 @@
 	}
 	u.Era, u.Revision = s.position.Era, s.position.Revision
 	u.Age = time.Since(s.confirmedAt)
+	u.Path = s.path
 	if !s.eraBegan.IsZero() {
 		u.EraAge = max(time.Since(s.eraBegan), 1)
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -69,6 +69,9 @@
 	Age time.Duration `cbor:"5,keyasint,omitempty"`
 	// EraAge is the time since the era began, 0 if its begin was not observed.
 	EraAge time.Duration `cbor:"10,keyasint,omitempty"`
+	// Path identifies the instances through which the update came, the nearest first, by
+	// 32-bit hashes of their IDs. An instance does not follow one that follows it.
+	Path []uint32 `cbor:"11,keyasint,omitempty"`
 	// Direct is set on an update that was read from the platform.
 	Direct bool `cbor:"-"`
 	// Before is the full state of another instance, which may know what the platform
--- a/internal/follow/reconcile.go
+++ b/internal/follow/reconcile.go
@@ -106,7 +106,7 @@
 		r.learn(now, &learned)
 		learned.Config = cmp.Or(learned.Config, u.Config)
 		learned.Restored = learned.Restored || u.Restored
-		learned.Invalid, learned.Direct, learned.Age = u.Invalid, u.Direct, u.Age
+		learned.Invalid, learned.Direct, learned.Age, learned.Path = u.Invalid, u.Direct, u.Age, u.Path
 		*u = learned
 	}
 	return true
