--- a/internal/fanout/client.go
+++ b/internal/fanout/client.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
 	"arbutusdock.example/arbutusdock/internal/follow"
@@ -83,7 +82,7 @@
 			return follow.Update{}, eris.Wrapf(err, "read from instance %s", c.instance.ID)
 		}
 		u = follow.Update{}
-		if err := cbor.Unmarshal(data, &u); err != nil {
+		if err := decode(data, &u); err != nil {
 			c.close()
 			return follow.Update{}, eris.Wrapf(err, "decode update of instance %s", c.instance.ID)
 		}
@@ -131,6 +130,8 @@
 		"era":     {strconv.FormatUint(after.Era, 10)},
 		"after":   {strconv.FormatUint(after.Revision, 10)},
 		"version": {strconv.FormatUint(c.configVersion(), 10)},
+		// One of a former release sends uncompressed updates all the same.
+		"compressed": {"true"},
 	}
 	if starting {
 		query.Set("starting", "true")
--- a/internal/fanout/fallback_test.go
+++ b/internal/fanout/fallback_test.go
@@ -114,6 +114,7 @@
 	for _, cutOff := range []bool{false, true} {
 		s := NewSource(&platformStub{}, Config{DataCentre: "a", Self: Instance{"a-1", at}, Log: discardLog, State: NewState(),
 			Seeds: []string{strings.TrimPrefix(server.URL, "http://")}})
+		s.config.State.Apply(&follow.Update{Complete: true, Revision: 1})
 		s.recordPlatformRead(cutOff)
 		s.announce(context.Background(), false)
 		var names []ids.Instance
--- a/internal/fanout/server.go
+++ b/internal/fanout/server.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
 	"arbutusdock.example/arbutusdock/internal/follow"
@@ -98,13 +97,14 @@
 		return
 	}
 	defer func() { _ = ws.CloseNow() }()
+	compressed := r.URL.Query().Get("compressed") == "true"
 	// CloseRead cancels the context when the follower disconnects.
 	ctx := ws.CloseRead(r.Context())
 	heartbeat := time.NewTicker(heartbeatInterval)
 	defer heartbeat.Stop()
 	for {
 		update, changed, _ := s.state.Since(q) // cannot fail: a state stays initialized
-		if err := send(ctx, ws, &update); err != nil {
+		if err := send(ctx, ws, &update, compressed); err != nil {
 			s.state.neighbourLost()
 			return // the follower logs the loss of its source
 		}
@@ -130,18 +130,18 @@
 
 // send writes an update, splitting the targets over several messages if there are
 // many. It modifies u.Targets.
-func send(ctx context.Context, ws *websocket.Conn, u *follow.Update) error {
+func send(ctx context.Context, ws *websocket.Conn, u *follow.Update, compressed bool) error {
 	for len(u.Targets) > maxMessageTargets {
-		if err := sendMessage(ctx, ws, &follow.Update{More: true, Targets: u.Targets[:maxMessageTargets]}); err != nil {
+		if err := sendMessage(ctx, ws, &follow.Update{More: true, Targets: u.Targets[:maxMessageTargets]}, compressed); err != nil {
 			return err
 		}
 		u.Targets = u.Targets[maxMessageTargets:]
 	}
-	return sendMessage(ctx, ws, u)
+	return sendMessage(ctx, ws, u, compressed)
 }
 
-func sendMessage(ctx context.Context, ws *websocket.Conn, u *follow.Update) error {
-	data, err := cbor.Marshal(u)
+func sendMessage(ctx context.Context, ws *websocket.Conn, u *follow.Update, compressed bool) error {
+	data, err := encode(u, compressed)
 	if err != nil {
 		return err
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -72,6 +72,9 @@
 	// Path identifies the instances through which the update came, the nearest first, by
 	// 32-bit hashes of their IDs. An instance does not follow one that follows it.
 	Path []uint32 `cbor:"11,keyasint,omitempty"`
+	// Compressed is the whole update, encoded and compressed, in a message that has no
+	// other field.
+	Compressed []byte `cbor:"12,keyasint,omitempty"`
 	// Direct is set on an update that was read from the platform.
 	Direct bool `cbor:"-"`
 	// Before is the full state of another instance, which may know what the platform
