--- a/internal/fanout/fallback.go
+++ b/internal/fanout/fallback.go
@@ -12,8 +12,8 @@
 )
 
 // The platform may reject an instance, or be out of its reach, while it serves others.
-// Such an instance follows one of these until it can read the platform or a source again:
-// a fallback, of which the seeds name some.
+// Until such an instance can read the platform or a source again, it follows a fallback:
+// one of a few instances that the seeds name.
 
 const (
 	// platformRetryInterval is the time after a failed read of the platform during which
@@ -52,8 +52,8 @@
 }
 
 // readFallback reads the next update from a fallback. It returns false if none is needed
-// or the one that was tried is not up to date. It tries one at a time: during an outage of
-// the platform none is, and connections to all would be set up again and again.
+// or none is up to date. The first that can be read and is not ends the search: during an
+// outage of the platform none is, and connections to all would be set up again and again.
 func (s *Source) readFallback(ctx context.Context, after follow.Position) (follow.Update, bool) {
 	if s.platformFailedAt.IsZero() || time.Since(s.platformFailedAt) >= platformRetryInterval {
 		return follow.Update{}, false
@@ -71,9 +71,10 @@
 		if err == nil && u.Age >= lostFor && !hasChanges(&u) {
 			err = errNotConfirmed
 		}
+		s.config.OnRead("instance", err)
 		if err == nil {
 			s.fallback = i
-			s.follow(i)
+			s.setSource(i)
 			return u, true
 		}
 		c.close()
@@ -85,7 +86,9 @@
 			s.setCurrent("none", eris.Wrapf(err, "source %s", i.ID))
 		}
 		s.config.Log.Debug("fallback-unusable", "instance", i.ID, "error", err)
-		break
+		if errors.Is(err, errNotConfirmed) || errors.Is(err, errStale) {
+			break
+		}
 	}
 	return follow.Update{}, false
 }
--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -163,9 +163,10 @@
 		}
 		c := s.client(i)
 		u, err := s.readFresh(peersCtx, c, after, 0)
+		s.config.OnRead("instance", err)
 		switch {
 		case err == nil:
-			s.follow(i)
+			s.setSource(i)
 			return u, true
 		case errors.Is(err, errStale) && s.outage && stale == nil:
 			stale = c
@@ -181,13 +182,14 @@
 		return follow.Update{}, false
 	}
 	u, err := s.readFresh(peersCtx, stale, after, staleSourceWait)
+	s.config.OnRead("instance", err)
 	if err != nil {
 		// It is followed again after the next attempt to read the platform.
 		s.setCurrent("none", eris.Wrapf(err, "source %s", stale.instance.ID))
 		s.closeOthers(stale.instance.ID)
 		return follow.Update{}, false
 	}
-	s.follow(stale.instance)
+	s.setSource(stale.instance)
 	return u, true
 }
 
@@ -201,8 +203,8 @@
 	return c
 }
 
-// follow records that an instance is the source of the last update.
-func (s *Source) follow(i Instance) {
+// setSource records that an instance is the source of the last update.
+func (s *Source) setSource(i Instance) {
 	s.setCurrent(string(i.ID), nil)
 	s.closeOthers(i.ID)
 }
@@ -241,7 +243,6 @@
 	start := time.Now()
 	for {
 		u, err := c.read(ctx, after)
-		s.config.OnRead("instance", err)
 		switch {
 		case err != nil:
 			return u, err
