--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -14,7 +14,8 @@
 const (
 	// checkWorkers is the number of concurrent health checks.
 	checkWorkers = 4
-	// checkTimeout bounds a health check. A backend server responds in about 1 ms,
+	// checkTimeout is the time within which a health check has to be answered, by the
+	// reference and from then on by the target. A backend server responds in about 1 ms,
 	// or in about 150 ms when its queue is full.
 	checkTimeout = 300 * time.Millisecond
 )
