--- a/internal/fanout/client.go
+++ b/internal/fanout/client.go
@@ -48,6 +48,7 @@
 	connectTimeout time.Duration
 	conn           *websocket.Conn
 	position       follow.Position // of the last update read from conn
+	senderClock    senderClock     // of the instance that sends to conn
 }
 
 // read returns the next update after a position. It connects if necessary.
@@ -106,6 +107,9 @@
 		}
 	}
 	u.Age += time.Since(firstBegin)
+	if u.SentAt != 0 && u.Lag != 0 {
+		u.CurrentAt = c.senderClock.localTime(u.SentAt, firstBegin).Add(-u.Lag)
+	}
 	u.Path = append([]uint32{pathHash(c.instance.ID)}, u.Path...)
 	c.position = u.Position()
 	return u, nil
@@ -132,6 +136,7 @@
 func (c *client) dial(ctx context.Context, after follow.Position, starting bool) error {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	c.senderClock = senderClock{dialedAt: time.Now()}
 	query := url.Values{
 		"era":     {strconv.FormatUint(after.Era, 10)},
 		"after":   {strconv.FormatUint(after.Revision, 10)},
--- a/internal/fanout/state.go
+++ b/internal/fanout/state.go
@@ -31,6 +31,8 @@
 	changes           []change                  // of the present era, in the order of their revisions
 	compactedRevision uint64                    // changes up to this revision are no longer kept
 	confirmedAt       time.Time                 // when the state was last confirmed to be up to date
+	currentAt         time.Time                 // follow.Update.CurrentAt, the latest one; zero if none is known
+	clockStart        time.Time                 // when the clock of follow.Update.SentAt was zero
 	path              []uint32                  // follow.Update.Path of the last update that was read
 	evacuations       *follow.Evacuations
 	evacuationsAt     uint64        // revision of the update that changed evacuations last
@@ -52,7 +54,7 @@
 
 // NewState returns an empty state.
 func NewState() *State {
-	return &State{targets: map[string]*follow.Target{}, removed: map[string]removedTarget{}, changed: make(chan struct{}), lostNeighbour: make(chan struct{}, 1)}
+	return &State{targets: map[string]*follow.Target{}, removed: map[string]removedTarget{}, changed: make(chan struct{}), lostNeighbour: make(chan struct{}, 1), clockStart: time.Now()}
 }
 
 // neighbourLost signals that the connection to a follower or a source has ended.
@@ -118,6 +120,9 @@
 		s.position = u.Position()
 	}
 	s.confirmedAt = time.Now().Add(-u.Age)
+	if u.CurrentAt.After(s.currentAt) {
+		s.currentAt = u.CurrentAt
+	}
 	if u.Direct || len(u.Path) > 0 {
 		s.path = u.Path
 	}
@@ -207,6 +212,10 @@
 	}
 	u.Era, u.Revision = s.position.Era, s.position.Revision
 	u.Age = time.Since(s.confirmedAt)
+	if !s.currentAt.IsZero() {
+		now := time.Now()
+		u.SentAt, u.Lag = max(now.Sub(s.clockStart), 1), max(now.Sub(s.currentAt), 1)
+	}
 	u.Path = s.path
 	if !s.eraBegan.IsZero() {
 		u.EraAge = max(time.Since(s.eraBegan), 1)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -67,6 +67,15 @@
 	// Age is the time since the state of the source was last confirmed to be up to
 	// date.
 	Age time.Duration `cbor:"5,keyasint,omitempty"`
+	// CurrentAt is a time, by the steady clock of this instance, at which the state that the
+	// update leads to was the current one: it lacks nothing that was published before. It is
+	// zero if no such time is known. Unlike Age, it does not count on a short transfer.
+	CurrentAt time.Time `cbor:"-"`
+	// SentAt and Lag tell a follower CurrentAt: the time on the steady clock of the sender
+	// when it composed the update, and how long before that its state was the current one.
+	// Both are 0 if that is not known.
+	SentAt time.Duration `cbor:"14,keyasint,omitempty"`
+	Lag    time.Duration `cbor:"15,keyasint,omitempty"`
 	// EraAge is the time since the era began, 0 if its begin was not observed.
 	EraAge time.Duration `cbor:"10,keyasint,omitempty"`
 	// Path identifies the instances through which the update came, the nearest first, by
--- a/internal/follow/reconcile.go
+++ b/internal/follow/reconcile.go
@@ -16,6 +16,9 @@
 	// published at least once more by then if they are alive: a record in which only
 	// the number of writes differs causes no change event.
 	rereadDelay = rewriteTime + time.Second
+	// settleTime is the time after a restore from which records are taken as current: they
+	// have been read again by then.
+	settleTime = rereadDelay + 2*time.Second
 	// RemovalMemory is the time for which a removed target is remembered. It exceeds
 	// the age of a copy from which the platform may be restored.
 	RemovalMemory = 60 * time.Second
@@ -108,17 +111,27 @@
 	if !r.apply(now, u) {
 		return false
 	}
+	if !r.settled(now) {
+		u.CurrentAt = time.Time{} // what is held may turn out to be outdated
+	}
 	if u.Before != nil {
 		learned := *u.Before
 		r.learn(now, &learned)
 		learned.Config = cmp.Or(learned.Config, u.Config)
 		learned.Restored = learned.Restored || u.Restored
 		learned.Invalid, learned.Direct, learned.Age, learned.Path = u.Invalid, u.Direct, u.Age, u.Path
+		learned.CurrentAt = u.CurrentAt
 		*u = learned
 	}
 	return true
 }
 
+// settled reports whether all that was published before a restore has been published again,
+// or is known to be gone.
+func (r *Reconciler) settled(now time.Time) bool {
+	return r.eraBegan.IsZero() || now.Sub(r.eraBegan) >= settleTime
+}
+
 func (r *Reconciler) apply(now time.Time, u *Update) bool {
 	if u.Era == 0 {
 		u.Era = r.position.Era
--- a/internal/follow/reconcile_test.go
+++ b/internal/follow/reconcile_test.go
@@ -224,3 +224,22 @@
 		})
 	}
 }
+
+// Guards against flows that are reset after a restore because of a record that is only held,
+// or of a target that lives and is taken for gone until everything is read again.
+func TestNotCurrentAfterRestore(t *testing.T) {
+	r := NewReconciler()
+	currentAt := func(u Update, after time.Duration) time.Time {
+		u.CurrentAt = epoch
+		assert.Assert(t, r.Apply(epoch.Add(after), &u))
+		return u.CurrentAt
+	}
+	assert.Equal(t, currentAt(Update{Complete: true, Era: 3, Revision: 900}, 0), epoch)
+	assert.Assert(t, currentAt(Update{Complete: true, Era: 4, Revision: 500}, 0).IsZero())
+	assert.Assert(t, currentAt(Update{Era: 4, Revision: 510}, settleTime-1).IsZero())
+	assert.Equal(t, currentAt(Update{Era: 4, Revision: 520}, settleTime), epoch)
+	starter := NewReconciler()
+	u := Update{Complete: true, Era: 4, Revision: 510, EraAge: time.Second, CurrentAt: epoch}
+	assert.Assert(t, starter.Apply(epoch, &u))
+	assert.Assert(t, u.CurrentAt.IsZero(), "the time since the restore counts, not since the start")
+}
--- a/internal/forwarder/forward.go
+++ b/internal/forwarder/forward.go
@@ -93,6 +93,9 @@
 	if u.Complete {
 		f.core.ReplaceTargets(now, present)
 	}
+	if !u.CurrentAt.IsZero() {
+		f.core.ConfirmCurrent(f.clock.at(u.CurrentAt))
+	}
 	f.core.Tick(now)
 	f.isolated.Store(f.core.Isolated()) // before the first probe is answered
 	if f.core.Version() != 0 {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -83,7 +83,10 @@
 // clock is a monotonic clock, independent of changes of the wall clock.
 type clock struct{ start time.Time }
 
-func (c clock) now() ids.Time { return ids.Time(time.Since(c.start)) + 1 }
+func (c clock) now() ids.Time { return c.at(time.Now()) }
+
+// at returns the time of the clock at t. It is below 1 for times before its start.
+func (c clock) at(t time.Time) ids.Time { return ids.Time(t.Sub(c.start)) + 1 }
 
 // Reload triggers a reload of the settings file and returns immediately.
 func (f *Forwarder) Reload() { f.reload.Reload() }
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -18,7 +18,8 @@
 	adopted, repeatedData, openedElsewhere   prometheus.Counter
 	forwardingTime, openingTime, requestTime prometheus.Histogram
 	reads, checks                            *prometheus.CounterVec
-	version, stateAge, flows, flowBytes      prometheus.Gauge
+	version, stateAge, currentAge            prometheus.Gauge
+	flows, flowBytes                         prometheus.Gauge
 	evacuations, extraDelay                  prometheus.Gauge
 	targets, rejectedShare                   *prometheus.GaugeVec
 }
@@ -66,6 +67,7 @@
 	}
 	m.version = newGauge("config_version", "Version of the configuration in force, 0 for none.")
 	m.stateAge = newGauge("news_age_seconds", "Time since what is published was last known to be complete.")
+	m.currentAge = newGauge("news_current_age_seconds", "Time since what is known was certainly all that was published.")
 	m.flows = newGauge("flows", "Flows remembered.")
 	m.flowBytes = newGauge("flows_bytes", "Memory of the flows remembered.")
 	m.targets = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "arbutusdock_targets", Help: "Targets by lifecycle; suspected ones count once more."}, []string{"state"})
@@ -137,6 +139,7 @@
 func (m *metrics) setGauges(s *passthrough.Snapshot, stateAge time.Duration) {
 	m.version.Set(float64(s.Version))
 	m.stateAge.Set(stateAge.Seconds())
+	m.currentAge.Set(s.CurrentAge.Seconds())
 	m.flows.Set(float64(s.Flows))
 	m.extraDelay.Set(s.ExtraDelay.Seconds())
 	m.evacuations.Set(float64(len(s.Evacuations)))
--- a/internal/passthrough/core.go
+++ b/internal/passthrough/core.go
@@ -52,6 +52,7 @@
 	members        coldlimit.View
 	membersVersion uint32 // changes with members
 
+	currentAt           ids.Time // nothing that was published before then is missing
 	lastAlive           ids.Time // when any target last proved that it is alive
 	listReceivedAt      ids.Time // when the first complete list of targets arrived
 	platformRecoveredAt ids.Time // when the platform last answered again after an outage
--- a/internal/passthrough/inspect.go
+++ b/internal/passthrough/inspect.go
@@ -32,7 +32,9 @@
 	Version uint64 // version of the configuration; 0 for none
 	Routes  int
 	Flows   int // entries of the flow table
-	Targets []TargetState
+	// CurrentAge is the time since the state was known to be the current one.
+	CurrentAge time.Duration
+	Targets    []TargetState
 	// Evacuations are the evacuations in force, by data centre.
 	Evacuations []EvacuationState
 	Overload    []OverloadState
@@ -47,7 +49,7 @@
 
 // Snapshot returns a copy of the state of the core.
 func (c *Core) Snapshot(now ids.Time) Snapshot {
-	s := Snapshot{Version: c.routes.version, Routes: len(c.routes.routes), Flows: len(c.flows.index), Overload: c.overloadStates(), ExtraDelay: c.extraDelay()}
+	s := Snapshot{Version: c.routes.version, Routes: len(c.routes.routes), Flows: len(c.flows.index), CurrentAge: now.Sub(c.currentAt), Overload: c.overloadStates(), ExtraDelay: c.extraDelay()}
 	for _, e := range c.targets.evacuated {
 		s.Evacuations = append(s.Evacuations, EvacuationState{e.Evacuation, now.Sub(e.since)})
 	}
--- a/internal/passthrough/learn.go
+++ b/internal/passthrough/learn.go
@@ -37,6 +37,9 @@
 	return true
 }
 
+// ConfirmCurrent records that nothing that was published before the given time is missing.
+func (c *Core) ConfirmCurrent(at ids.Time) { c.currentAt = max(c.currentAt, at) }
+
 // Version returns the version of the active configuration, or 0 if there is none.
 func (c *Core) Version() uint64 { return c.routes.version }
 
