--- a/internal/passthrough/core.go
+++ b/internal/passthrough/core.go
@@ -94,6 +94,7 @@
 	NoRoute                         // there is no route for this address
 	RouteDropped                    // the route of the open flow has been removed
 	NoTarget                        // the service has no target
+	RouteUnconfirmed                // no route for the address of an open flow is known, but one may have been added
 	UnknownCookie                   // the cookie identifies no known target
 	NoCookie                        // the packet is not an opening packet and has no cookie
 	TargetGone                      // the target of the open flow has terminated
@@ -109,7 +110,7 @@
 // NumReasons is the number of reasons.
 const NumReasons = int(reasonCount)
 
-var reasonNames = [...]string{"known", "placed", "replaced", "repeated", "no_config", "no_route", "route_dropped", "no_target", "unknown_cookie", "no_cookie", "target_gone", "target_unreachable", "all_evacuated", "no_target_in_region", "cold_limited", "overloaded", "extra"}
+var reasonNames = [...]string{"known", "placed", "replaced", "repeated", "no_config", "no_route", "route_dropped", "no_target", "route_unconfirmed", "unknown_cookie", "no_cookie", "target_gone", "target_unreachable", "all_evacuated", "no_target_in_region", "cold_limited", "overloaded", "extra"}
 
 func (r Reason) String() string { return reasonNames[r] }
 
@@ -151,38 +152,22 @@
 	if p.Cookie == 0 {
 		return Decision{Reason: NoCookie}
 	}
-	if c.routes.routes != nil {
-		if _, ok := c.routes.routes[p.Flow.Service]; !ok {
-			return c.resetRemovedRoute(p)
-		}
+	f, t := c.flows.get(p.Flow), c.targets.byCookie[p.Cookie]
+	verdict, reason := c.judge(now, p, f, t)
+	if verdict == Reset {
+		return c.resetFlow(now, f, t, reason)
 	}
-	t := c.targets.byCookie[p.Cookie]
-	if t == nil {
-		return Decision{Reason: UnknownCookie}
+	if f == nil && reason.unconfirmed() {
+		f = c.adopt(now, p, t) // remembers when its first packet arrived
 	}
-	if reason, ok := t.resetReason(now, p); ok {
-		if f := c.flows.get(p.Flow); f != nil {
-			c.removeFlow(f)
-		}
-		return Decision{Verdict: Reset, Reason: reason, Target: t.Name, Service: t.Service}
+	if verdict == Drop {
+		return Decision{Reason: reason}
 	}
-	d := c.forwardTo(t, KnownCookie)
-	c.observePacket(now, p, t, &d)
+	d := c.forwardTo(t, reason)
+	c.observePacket(now, p, f, t, &d)
 	return d
 }
 
-// resetRemovedRoute resets an open flow whose route has been removed. A reset
-// packet from the caller is not answered with a reset.
-func (c *Core) resetRemovedRoute(p *Packet) Decision {
-	if f := c.flows.get(p.Flow); f != nil {
-		c.removeFlow(f)
-	}
-	if p.Flags.Has(RST) {
-		return Decision{Reason: RouteDropped}
-	}
-	return Decision{Verdict: Reset, Reason: RouteDropped}
-}
-
 func (c *Core) forwardTo(t *target, reason Reason) Decision {
 	return Decision{
 		Verdict: Forward, Reason: reason, Address: t.Address, Identity: t.Identity, Cookie: t.cookie,
@@ -197,6 +182,11 @@
 	}
 	route := c.routes.routes[p.Flow.Service]
 	if route == nil {
+		if p.Ack > 0 {
+			// Another instance may have forwarded the first one, so that the flow is
+			// open when a reset arrives.
+			return Decision{Reason: RouteUnconfirmed}
+		}
 		return Decision{Verdict: Reset, Reason: NoRoute}
 	}
 	f := c.flows.get(p.Flow)
@@ -274,19 +264,14 @@
 }
 
 // observePacket updates the state of a flow and its target t from a packet of an
-// open flow, and fills in the measurements in d.
-func (c *Core) observePacket(now ids.Time, p *Packet, t *target, d *Decision) {
-	f := c.flows.get(p.Flow)
-	if f == nil {
+// open flow, and fills in the measurements in d. f is the flow, or nil if the table does
+// not have it.
+func (c *Core) observePacket(now ids.Time, p *Packet, f *flow, t *target, d *Decision) {
+	if f == nil || f.state == flowReset {
 		if p.Length == 0 || p.Flags.Has(FIN) || p.Flags.Has(RST) {
 			return
 		}
-		// Another instance forwarded the earlier packets of this flow.
-		var evicted flow
-		f, evicted = c.flows.add(p.Flow)
-		c.subtractLoad(&evicted)
-		f.state, f.target, f.generation, f.nextSeq, f.ack = flowOpen, t.index, t.generation, p.Seq, p.Ack
-		t.flows++
+		f = c.adopt(now, p, t)
 		d.Adopted = true
 	}
 	f.lastSeen = now
@@ -296,7 +281,7 @@
 		c.markAlive(now, t)
 	}
 	if c.target(f) != t {
-		c.reassignFlow(f, t)
+		c.reassignFlow(now, f, t)
 	}
 	if progress := int32(p.Ack - f.ack); progress > 0 && !p.Flags.Has(RST) {
 		f.ack = p.Ack
@@ -308,7 +293,9 @@
 		c.finishRequest(f, t)
 	}
 	if p.Flags.Has(RST) || p.Flags.Has(FIN) {
-		c.removeFlow(f)
+		if !d.Reason.unconfirmed() { // the caller's next FIN may have to be reset
+			c.removeFlow(f)
+		}
 		return
 	}
 	if p.Length > 0 {
@@ -342,11 +329,32 @@
 // retransmission instead of reordering. Callers first retransmit after 200 ms.
 const minRetransmitTime = 150 * time.Millisecond
 
-// reassignFlow moves the load of f from its former target to t.
-func (c *Core) reassignFlow(f *flow, t *target) {
+// adopt adds a flow that was opened at another instance, or replaces its entry. t is its
+// target, or nil if its cookie is unknown.
+func (c *Core) adopt(now ids.Time, p *Packet, t *target) *flow {
+	if f := c.flows.get(p.Flow); f != nil {
+		c.removeFlow(f)
+	}
+	f, evicted := c.flows.add(p.Flow)
+	c.subtractLoad(&evicted)
+	f.state, f.nextSeq, f.ack = flowAdopted, p.Seq, p.Ack
+	f.lastSeen, f.forwardedAt = now, now
+	if t != nil {
+		f.target, f.generation = t.index, t.generation
+		t.flows++
+	}
+	return f
+}
+
+// reassignFlow moves the load of f from its former target to t, which another instance
+// has chosen.
+func (c *Core) reassignFlow(now ids.Time, f *flow, t *target) {
 	c.subtractLoad(f)
 	f.target, f.generation, f.requestActive = t.index, t.generation, false
 	t.flows++
+	if f.state != flowAdopted {
+		f.state, f.forwardedAt = flowAdopted, now
+	}
 }
 
 // finishRequest ends the active request of f.
@@ -359,7 +367,7 @@
 
 // subtractLoad removes f from the load of its target.
 func (c *Core) subtractLoad(f *flow) {
-	if f.state == flowFree {
+	if f.state == flowFree || f.state == flowReset {
 		return
 	}
 	if t := c.target(f); t != nil {
@@ -399,9 +407,16 @@
 // removeFlow removes f from the flow table and from the load of its target, and
 // adds it to the average number of requests per flow.
 func (c *Core) removeFlow(f *flow) {
-	if f.requests > 0 {
+	c.endFlow(f)
+	c.flows.remove(f)
+}
+
+// endFlow removes f from the load of its target, and adds it to the average number of
+// requests per flow. The entry of f remains.
+func (c *Core) endFlow(f *flow) {
+	if f.requests > 0 && c.routes.routes[f.key.Service] != nil {
 		c.requestsPerFlow[f.key.Service] = c.averageWith(f)
 	}
 	c.subtractLoad(f)
-	c.flows.remove(f)
+	f.requests, f.state = 0, flowReset
 }
--- a/internal/passthrough/flow.go
+++ b/internal/passthrough/flow.go
@@ -10,8 +10,9 @@
 const (
 	flowFree    flowState = iota // the entry is unused
 	flowOpening                  // an opening packet was forwarded
-	flowOpen                     // the caller has sent a packet after the target's answer
-	flowClosing                  // the caller has sent a FIN
+	flowOpen                     // opened here: the caller has sent a packet after the target's answer
+	flowAdopted                  // opened at another instance
+	flowReset                    // was reset here; its packets are reset again
 )
 
 // flow is the state that an instance keeps of a flow. Forwarding packets of an
@@ -27,7 +28,7 @@
 	nextSeq       uint32 // next sequence number after the caller's data so far
 	ack           uint32 // highest acknowledgement number of the caller so far
 	lastSeen      ids.Time
-	forwardedAt   ids.Time // when the last opening packet was sent to target
+	forwardedAt   ids.Time // when the last opening packet was sent to target; for flowAdopted, when the first packet arrived
 	requestedAt   ids.Time // when the first packet of the active request arrived
 }
 
--- a/internal/passthrough/inspect.go
+++ b/internal/passthrough/inspect.go
@@ -32,7 +32,8 @@
 	Version uint64 // version of the configuration; 0 for none
 	Routes  int
 	Flows   int // entries of the flow table
-	// CurrentAge is the time since the state was known to be the current one.
+	// CurrentAge is the time since the state was known to be the current one. Flows of other
+	// instances whose first packet arrived since then are not reset.
 	CurrentAge time.Duration
 	Targets    []TargetState
 	// Evacuations are the evacuations in force, by data centre.
@@ -117,20 +118,12 @@
 		set(Drop, NoConfig)
 	case route == nil && cookie == 0:
 		set(Reset, NoRoute)
-	case route == nil:
-		set(Reset, RouteDropped)
 	case cookie != 0:
 		t := c.targets.byCookie[cookie]
-		if t == nil {
-			set(Drop, UnknownCookie)
-			break
-		}
-		e.Target, e.Service = t.Name, t.Service
-		if reason, ok := t.resetReason(now, &Packet{Flow: flow, Cookie: cookie, Length: 1}); ok {
-			set(Reset, reason)
-			break
+		if t != nil {
+			e.Target, e.Service = t.Name, t.Service
 		}
-		set(Forward, KnownCookie)
+		set(c.judge(now, &Packet{Flow: flow, Cookie: cookie, Length: 1}, c.flows.get(flow), t))
 	default:
 		c.explainPlacement(now, flow, route, &e)
 	}
@@ -168,7 +161,7 @@
 		if f.requests > 0 {
 			wanted.long = c.averageWith(f) > longFlowRequests
 		}
-		if t != nil { // the flow ends with a new opening
+		if t != nil && f.state != flowReset { // the flow ends with a new opening
 			defer t.withoutFlow(f)()
 		}
 	}
--- a/internal/passthrough/inspect_test.go
+++ b/internal/passthrough/inspect_test.go
@@ -13,14 +13,14 @@
 func TestExplainMatchesDecision(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c, twin := testCore(), testCore() // the twin explains nothing
-		now := startTime
+		now, version := startTime, uint64(1)
 		both := func(f func(c *Core)) { f(c); f(twin) }
 		services := []Endpoint{counterAddress, {Port: 9}}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
 			flow := testFlow(rapid.IntRange(1, 4).Draw(t, "flow"), rapid.SampledFrom(services).Draw(t, "to"))
 			record := testRecord(rapid.IntRange(1, 3).Draw(t, "target"), "counter", "a")
-			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			switch rapid.IntRange(0, 8).Draw(t, "step") {
 			case 0:
 				both(func(c *Core) { c.ReplaceTargets(now, []*TargetRecord{&record}) })
 			case 1:
@@ -30,6 +30,15 @@
 				both(func(c *Core) { c.RemoveTarget(now, record.Name) })
 			case 3:
 				both(func(c *Core) { c.PlatformRecovered(now) })
+			case 4:
+				both(func(c *Core) { c.ConfirmCurrent(now) })
+			case 5:
+				version++
+				config := testConfig(version)
+				if rapid.Bool().Draw(t, "drop") {
+					config.Routes = config.Routes[1:]
+				}
+				both(func(c *Core) { c.ApplyConfig(config) })
 			default:
 				cookie := Cookie(0)
 				if rapid.Bool().Draw(t, "open") {
--- a/internal/passthrough/learn.go
+++ b/internal/passthrough/learn.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"math"
 	"time"
 
 	"arbutusdock.example/arbutusdock/internal/chart"
@@ -37,9 +38,6 @@
 	return true
 }
 
-// ConfirmCurrent records that nothing that was published before the given time is missing.
-func (c *Core) ConfirmCurrent(at ids.Time) { c.currentAt = max(c.currentAt, at) }
-
 // Version returns the version of the active configuration, or 0 if there is none.
 func (c *Core) Version() uint64 { return c.routes.version }
 
@@ -167,7 +165,7 @@
 			continue
 		}
 		idle := now.Sub(f.lastSeen)
-		if idle > c.routes.idleTimeout && c.routes.idleTimeout > 0 || idle > c.settings.FlowLifetime || (f.state == flowOpening && idle > maxOpeningAge) {
+		if idle > c.routes.idleTimeout && c.routes.idleTimeout > 0 || idle > c.settings.FlowLifetime || idle > stateLifetime(f.state) {
 			c.removeFlow(f)
 			continue
 		}
@@ -181,6 +179,21 @@
 // packet.
 const maxOpeningAge = 1400 * time.Millisecond
 
+// resetMemory is the time for which a flow that was reset is remembered. A caller that has
+// missed the reset repeats its packet after at most 1.6 s.
+const resetMemory = 4 * time.Second
+
+// stateLifetime returns the idle time after which a flow in a state cannot go on.
+func stateLifetime(s flowState) time.Duration {
+	switch s {
+	case flowOpening:
+		return maxOpeningAge
+	case flowReset:
+		return resetMemory
+	}
+	return math.MaxInt64
+}
+
 // defaultRequestTimeout is the request timeout of a route that sets none.
 const defaultRequestTimeout = 5 * time.Second
 
--- a/internal/passthrough/trust.go
+++ b/internal/passthrough/trust.go
@@ -152,14 +152,13 @@
 
 // resetStalled resets the flows that wait for an answer of t, which is unreachable.
 // Otherwise their callers would notice at their next retransmission, up to 0.8 s later.
-func (c *Core) resetStalled(t *target, reason Reason) {
+func (c *Core) resetStalled(now ids.Time, t *target, reason Reason) {
 	for _, key := range t.stalled {
 		f := c.flows.get(key)
-		if f == nil || c.target(f) != t || f.state != flowOpen || !f.requestActive {
+		if f == nil || c.target(f) != t || f.state == flowOpening || !f.requestActive {
 			continue
 		}
-		c.resets = append(c.resets, FlowReset{Packet{Flow: key, Ack: f.ack}, Decision{Verdict: Reset, Reason: reason, Target: t.Name, Service: t.Service}})
-		c.removeFlow(f)
+		c.resets = append(c.resets, FlowReset{Packet{Flow: key, Ack: f.ack}, c.resetFlow(now, f, t, reason)})
 	}
 	t.stalled = t.stalled[:0]
 }
@@ -242,10 +241,10 @@
 	case result == CheckReplaced:
 		t.addressReused = true
 		c.targets.updatePool(t)
-		c.resetStalled(t, TargetGone)
+		c.resetStalled(now, t, TargetGone)
 	case result == CheckUnreachable && c.lastAlive > began:
 		t.unreachableUntil = now.Add(checkTTL)
-		c.resetStalled(t, TargetUnreachable)
+		c.resetStalled(now, t, TargetUnreachable)
 	default:
 		return
 	}
--- /dev/null
+++ b/internal/passthrough/unconfirmed_test.go
@@ -0,0 +1,113 @@
+package passthrough
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// twoCores returns two instances with the same state. Flows are opened at the first one.
+func twoCores() (opener, other *Core) { return testCore(), testCore() }
+
+var newAddress = Endpoint{IP: [4]byte{198, 18, 0, 3}, Port: 443}
+
+// configWithRoute returns a version that has a route to newAddress besides the usual ones.
+func configWithRoute(version uint64) *Config {
+	c := testConfig(version)
+	c.Routes = append(c.Routes, Route{Name: "new", Address: newAddress, Splits: []Split{{"counter", 1}}, Timeout: 1500 * ms})
+	return c
+}
+
+// Guards against a reset of an open flow on a new route by an instance that does not know
+// the route yet. Its packets of all kinds must reach the target.
+func TestOpenFlowOnRouteNotKnownYet(t *testing.T) {
+	for name, p := range map[string]Packet{
+		"data":  {Flags: ACK, Length: 50},
+		"ack":   {Flags: ACK},
+		"fin":   {Flags: FIN | ACK},
+		"reset": {Flags: RST},
+	} {
+		t.Run(name, func(t *testing.T) {
+			opener, late := twoCores()
+			late.ConfirmCurrent(startTime)
+			opener.ApplyConfig(configWithRoute(2))
+			f := testFlow(1, newAddress)
+			d := openFlow(t, opener, startTime.Add(time.Second), f)
+			p.Flow, p.Cookie, p.Seq, p.Ack = f, d.Cookie, 151, 600
+			for _, after := range []time.Duration{1100 * ms, 1300 * ms} {
+				got := late.HandlePacket(startTime.Add(after), &p)
+				assert.Equal(t, got.Verdict, Forward)
+				assert.Equal(t, got.Identity, d.Identity)
+				assert.Equal(t, got.Reason == KnownCookie, p.Flags.Has(RST))
+			}
+			late.ApplyConfig(configWithRoute(2))
+			late.ConfirmCurrent(startTime.Add(1200 * ms))
+			got := late.HandlePacket(startTime.Add(1500*ms), &p)
+			assert.Equal(t, got.Verdict, Forward)
+			assert.Equal(t, got.Reason, KnownCookie)
+		})
+	}
+}
+
+// Guards against a flow that goes on although its route was removed: an instance that did
+// not open it must reset it as soon as its state is current as of the flow's first packet
+// there, and again for a caller that has missed the reset.
+func TestFlowOnRemovedRouteIsReset(t *testing.T) {
+	opener, other := twoCores()
+	opener.ApplyConfig(configWithRoute(2))
+	f := testFlow(1, newAddress)
+	d := openFlow(t, opener, startTime, f)
+	first := startTime.Add(time.Second)
+	other.ApplyConfig(testConfig(3))
+	other.ConfirmCurrent(first.Add(-ms))
+	for _, cookie := range []Cookie{d.Cookie, 77} { // the target known and unknown
+		p := requestPacket(f, cookie)
+		assert.Equal(t, other.HandlePacket(first, p).Reason, RouteUnconfirmed)
+		assert.Equal(t, other.HandlePacket(first.Add(ms), p).Verdict == Forward, cookie == d.Cookie)
+		other.ConfirmCurrent(first.Add(2 * ms))
+		for range 3 {
+			got := other.HandlePacket(first.Add(3*ms), p)
+			assert.Equal(t, got.Verdict, Reset)
+			assert.Equal(t, got.Reason, RouteDropped)
+		}
+		f = testFlow(2, newAddress)
+		first = first.Add(10 * ms)
+	}
+	opener.ApplyConfig(testConfig(3))
+	assert.Equal(t, opener.HandlePacket(first, requestPacket(testFlow(1, newAddress), d.Cookie)).Verdict, Reset, "at once where it was opened")
+	for _, core := range []*Core{opener, other} {
+		core.Tick(first.Add(time.Minute))
+		for range sweepParts {
+			core.Tick(first.Add(2 * time.Minute))
+			first = first.Add(sweepInterval)
+		}
+		assert.Equal(t, len(core.flows.index), 0)
+	}
+}
+
+// Guards against a reset by an instance that has seen a route go and does not know yet that
+// it has been added again.
+func TestOpenFlowOnRouteAddedAgain(t *testing.T) {
+	opener, late := twoCores()
+	for _, c := range []*Core{opener, late} {
+		c.ApplyConfig(configWithRoute(2))
+		c.ApplyConfig(testConfig(3))
+	}
+	late.ConfirmCurrent(startTime)
+	opener.ApplyConfig(configWithRoute(4))
+	f := testFlow(1, newAddress)
+	d := openFlow(t, opener, startTime.Add(time.Second), f)
+	assert.Equal(t, late.HandlePacket(startTime.Add(1100*ms), requestPacket(f, d.Cookie)).Verdict, Forward)
+}
+
+// A caller's copy of an opening packet reaches an instance that does not know the route.
+// Another instance may have forwarded the first one, so the copy must not be reset; a
+// first one is, so that the caller can go elsewhere at once.
+func TestOpeningOnUnknownRoute(t *testing.T) {
+	c := testCore()
+	assert.Equal(t, c.HandlePacket(startTime, openingPacket(testFlow(1, newAddress), 0)), Decision{Verdict: Reset, Reason: NoRoute})
+	assert.Equal(t, c.HandlePacket(startTime, openingPacket(testFlow(2, newAddress), 1)), Decision{Reason: RouteUnconfirmed})
+	c.ApplyConfig(configWithRoute(2))
+	assert.Equal(t, c.HandlePacket(startTime, openingPacket(testFlow(2, newAddress), 2)).Verdict, Forward)
+}
