--- a/internal/passthrough/core.go
+++ b/internal/passthrough/core.go
@@ -99,6 +99,7 @@
 	NoCookie                        // the packet is not an opening packet and has no cookie
 	TargetGone                      // the target of the open flow has terminated
 	TargetUnreachable               // the target of the open flow is unreachable
+	TargetUnconfirmed               // the target of the open flow seems gone or unreachable, but may have started again
 	AllEvacuated                    // all targets of the service are in evacuated data centres
 	NoTargetInRegion                // no target of the service is in a region that the route allows
 	ColdLimited                     // all targets of the service are cold and get no more requests now
@@ -110,7 +111,7 @@
 // NumReasons is the number of reasons.
 const NumReasons = int(reasonCount)
 
-var reasonNames = [...]string{"known", "placed", "replaced", "repeated", "no_config", "no_route", "route_dropped", "no_target", "route_unconfirmed", "unknown_cookie", "no_cookie", "target_gone", "target_unreachable", "all_evacuated", "no_target_in_region", "cold_limited", "overloaded", "extra"}
+var reasonNames = [...]string{"known", "placed", "replaced", "repeated", "no_config", "no_route", "route_dropped", "no_target", "route_unconfirmed", "unknown_cookie", "no_cookie", "target_gone", "target_unreachable", "target_unconfirmed", "all_evacuated", "no_target_in_region", "cold_limited", "overloaded", "extra"}
 
 func (r Reason) String() string { return reasonNames[r] }
 
--- a/internal/passthrough/trust.go
+++ b/internal/passthrough/trust.go
@@ -155,7 +155,7 @@
 func (c *Core) resetStalled(now ids.Time, t *target, reason Reason) {
 	for _, key := range t.stalled {
 		f := c.flows.get(key)
-		if f == nil || c.target(f) != t || f.state == flowOpening || !f.requestActive {
+		if f == nil || c.target(f) != t || f.state == flowOpening || !f.requestActive || !c.confirmed(f, t, reason) {
 			continue
 		}
 		c.resets = append(c.resets, FlowReset{Packet{Flow: key, Ack: f.ack}, c.resetFlow(now, f, t, reason)})
--- a/internal/passthrough/unconfirmed.go
+++ b/internal/passthrough/unconfirmed.go
@@ -8,7 +8,7 @@
 func (c *Core) ConfirmCurrent(at ids.Time) { c.currentAt = max(c.currentAt, at) }
 
 // unconfirmed reports whether r is the reason of a decision that a later update may refute.
-func (r Reason) unconfirmed() bool { return r == RouteUnconfirmed }
+func (r Reason) unconfirmed() bool { return r == RouteUnconfirmed || r == TargetUnconfirmed }
 
 // judge returns the verdict on a packet of an open flow and its reason. f is the flow, or nil
 // if the table does not have it, and t the target that its cookie identifies, or nil. It
@@ -22,7 +22,7 @@
 		return Drop, UnknownCookie
 	}
 	if reason, reset := t.resetReason(now, p); reset {
-		return Reset, reason
+		return c.resetIfConfirmed(f, t, reason, TargetUnconfirmed)
 	}
 	return Forward, KnownCookie
 }
@@ -31,7 +31,7 @@
 // reason, and the reason of the verdict: unconfirmed if the flow may go on.
 func (c *Core) resetIfConfirmed(f *flow, t *target, reason, unconfirmed Reason) (Verdict, Reason) {
 	switch {
-	case c.confirmed(f, reason):
+	case c.confirmed(f, t, reason):
 		return Reset, reason
 	case t == nil:
 		return Drop, unconfirmed
@@ -41,28 +41,26 @@
 
 // confirmed reports whether a reason to reset f holds. Instances learn what is published at
 // different times; at a start, during a partition or after a freeze they are seconds apart.
-// A flow that another instance opened may have a route that this one does not know yet, or
-// knows as removed. What the other one knew had been published before the first
+// A flow that another instance opened may have a route or a target that this one does not
+// know yet, or knows as removed. What the other one knew had been published before the first
 // packet of the flow arrived here, so the reason holds once this state is current as of then.
-func (c *Core) confirmed(f *flow, reason Reason) bool {
+func (c *Core) confirmed(f *flow, t *target, reason Reason) bool {
 	switch {
-	case reason != RouteDropped:
-		return true
 	case f == nil:
 		return false
 	case f.state == flowAdopted:
 		return !c.currentAt.Before(f.forwardedAt)
+	case reason == RouteDropped:
+		return true // this instance has opened f on the route, or has reset it
 	}
-	return true // this instance has opened f on the route, or has reset it
+	return c.target(f) == t
 }
 
-// resetFlow returns the decision to reset f, which may be nil. t is the target that its cookie identifies, or
+// resetFlow returns the decision to reset f. t is the target that its cookie identifies, or
 // nil.
 func (c *Core) resetFlow(now ids.Time, f *flow, t *target, reason Reason) Decision {
-	if f != nil {
-		c.endFlow(f)
-		f.lastSeen = now
-	}
+	c.endFlow(f)
+	f.lastSeen = now
 	d := Decision{Verdict: Reset, Reason: reason}
 	if t != nil {
 		d.Target, d.Service = t.Name, t.Service
--- a/internal/passthrough/unconfirmed_test.go
+++ b/internal/passthrough/unconfirmed_test.go
@@ -111,3 +111,61 @@
 	c.ApplyConfig(configWithRoute(2))
 	assert.Equal(t, c.HandlePacket(startTime, openingPacket(testFlow(2, newAddress), 2)).Verdict, Forward)
 }
+
+// A target ends and starts again under the same name. Guards against a reset of the flows
+// of its new incarnation by an instance that knows only of the end; flows of the former one
+// are reset at once where they were opened.
+func TestTargetStartedAgain(t *testing.T) {
+	for name, end := range map[string]func(c *Core, name string){
+		"left": func(c *Core, name string) {
+			c.targets.byName[name].Draining = true
+			c.RemoveTarget(startTime.Add(time.Second), name)
+		},
+		"address used by another": func(c *Core, name string) {
+			c.ReportCheck(startTime.Add(time.Second), Check{Target: name}, startTime.Add(900*ms), CheckReplaced)
+		},
+		"unreachable": func(c *Core, name string) {
+			c.markAlive(startTime.Add(2*time.Second), c.targets.byName["counter-1"])
+			c.ReportCheck(startTime.Add(2*time.Second), Check{Target: name}, startTime.Add(1900*ms), CheckUnreachable)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			opener, late := twoCores()
+			old := testFlow(1, slipsAddress)
+			former := openFlow(t, late, startTime, old)
+			end(late, former.Target)
+			late.ConfirmCurrent(startTime.Add(time.Second))
+			again := testRecord(3, "slips", "a")
+			again.StartedAt = 7
+			opener.PutTarget(startTime.Add(1500*ms), &again)
+			f := testFlow(2, slipsAddress)
+			d := openFlow(t, opener, startTime.Add(2*time.Second), f)
+			assert.Equal(t, d.Cookie, former.Cookie)
+			now := startTime.Add(2100 * ms)
+			got := late.HandlePacket(now, requestPacket(f, d.Cookie))
+			assert.Equal(t, got.Verdict, Forward)
+			assert.Equal(t, got.Reason, TargetUnconfirmed)
+			assert.Equal(t, late.HandlePacket(now, requestPacket(old, d.Cookie)).Verdict, Reset)
+			late.PutTarget(now, &again)
+			late.ConfirmCurrent(now)
+			assert.Equal(t, late.HandlePacket(now, requestPacket(f, d.Cookie)).Reason, KnownCookie)
+		})
+	}
+}
+
+// Guards against flows of a target that is gone for good that are never reset since another
+// instance opened them.
+func TestAdoptedFlowOfTargetThatIsGone(t *testing.T) {
+	opener, other := twoCores()
+	f := testFlow(1, slipsAddress)
+	d := openFlow(t, opener, startTime, f)
+	other.RemoveTarget(startTime.Add(time.Second), d.Target)
+	first := startTime.Add(2 * time.Second)
+	p := &Packet{Flow: f, Flags: FIN | ACK, Cookie: d.Cookie, Seq: 151, Ack: 600}
+	assert.Equal(t, other.HandlePacket(first, p).Reason, TargetUnconfirmed)
+	other.ConfirmCurrent(first)
+	got := other.HandlePacket(first.Add(200*ms), p)
+	assert.Equal(t, got.Verdict, Reset)
+	assert.Equal(t, got.Reason, TargetGone)
+	assert.Equal(t, other.targets.byName[d.Target].flows, 0)
+}
