--- a/internal/passthrough/core.go
+++ b/internal/passthrough/core.go
@@ -184,8 +184,8 @@
 	route := c.routes.routes[p.Flow.Service]
 	if route == nil {
 		if p.Ack > 0 {
-			// Another instance may have forwarded the first one, so that the flow is
-			// open when a reset arrives.
+			// Another instance may have forwarded the first one, and its target may
+			// answer yet.
 			return Decision{Reason: RouteUnconfirmed}
 		}
 		return Decision{Verdict: Reset, Reason: NoRoute}
--- a/soak/restore_test.go
+++ b/soak/restore_test.go
@@ -41,6 +41,7 @@
 	s.store.Refuse(http.StatusServiceUnavailable)
 	time.Sleep(restoreOutage)
 	s.mu.Lock()
+	s.restoredAt = time.Now()
 	s.store.Restore()
 	s.store.Refuse(0)
 	servers := slices.Collect(maps.Values(s.servers))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -10,8 +10,10 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -24,12 +26,13 @@
 )
 
 const (
-	defaultFaultTime   = 10 * time.Second // duration of faults without SOAK_TIME
-	settleTime         = 5 * time.Second  // after the last fault until all requests are served
-	requestTimeout     = 2 * time.Second  // in TestSoak
-	demoRequestTimeout = 5 * time.Second  // in TestDemo: longer than the recovery from the loss of an instance
-	drainServeTime     = 3 * time.Second  // for which a draining target continues to serve
-	parallelSeeds      = 3                // seeds that run at the same time
+	defaultFaultTime   = 10 * time.Second       // duration of faults without SOAK_TIME
+	settleTime         = 5 * time.Second        // after the last fault until all requests are served
+	requestTimeout     = 2 * time.Second        // in TestSoak
+	demoRequestTimeout = 5 * time.Second        // in TestDemo: longer than the recovery from the loss of an instance
+	drainServeTime     = 3 * time.Second        // for which a draining target continues to serve
+	restartPause       = 300 * time.Millisecond // until a server starts again under its ID
+	parallelSeeds      = 3                      // seeds that run at the same time
 )
 
 // service is a service with its route and the kind of its requests.
@@ -53,6 +56,7 @@
 // server is a backend server with the faults and drains injected into it.
 type server struct {
 	*platformtest.Target
+	number         uint32
 	drainedAt      time.Time // when the store accepted its draining state; zero before
 	disturbedUntil time.Time // end of the last disturbance; after the end of the run once it is closed
 	removedAt      time.Time // when a crashed server was deleted from the store
@@ -70,6 +74,8 @@
 
 	mu               sync.Mutex
 	servers          map[string]*server // by ID
+	formerServers    []*server          // those that have started again under their ID
+	restoredAt       time.Time          // when the store was restored last
 	lastServerNumber uint32
 	latestVersion    int
 	evacuated        string            // the evacuated data centre, or none
@@ -78,6 +84,7 @@
 	servedCount      map[string]int
 	resetCount       int // resets of open flows
 	timeoutCount     int // requests on open flows without a response in time
+	wrongResets      int // resets of open flows on new routes
 	failures         []string
 }
 
@@ -123,7 +130,7 @@
 		s.stop(s.instances[0], time.Second)
 		s.store.Copy()
 		t.Log("drain of a counter server")
-		s.drain(s.servers["i-00000001"])
+		s.drain(s.servers["i-00000001"], false)
 		t.Log("kill of b-2")
 		s.kill(s.instances[2], 2*time.Second)
 		t.Log("restore of the store from its copy of before the drain")
@@ -165,6 +172,7 @@
 			load.Go(func() { s.runShortFlows(dc, c, services[n%2]) })
 		}
 		load.Go(func() { s.runVersionProbes(dc, c) })
+		load.Go(func() { s.runNewRouteFlows(dc, c) })
 	}
 	events()
 	load.Wait()
@@ -198,12 +206,21 @@
 	s.lastServerNumber++
 	number := s.lastServerNumber
 	s.mu.Unlock()
+	return s.startServer(number, name, dc)
+}
+
+// startServer starts a backend server with the given number, under which one may have run
+// before, and publishes it.
+func (s *soak) startServer(number uint32, name, dc string) *server {
 	target, err := platformtest.NewTarget(number, name, dc, datagramPort)
 	assert.NilError(s.t, err)
 	s.t.Cleanup(target.Close)
 	target.SetDelay(2 * time.Millisecond)
-	sv := &server{Target: target}
+	sv := &server{Target: target, number: number}
 	s.mu.Lock()
+	if former := s.servers[target.ID]; former != nil {
+		s.formerServers = append(s.formerServers, former)
+	}
 	s.servers[target.ID] = sv
 	s.mu.Unlock()
 	s.publishServer(sv, "ready")
@@ -241,6 +258,10 @@
 	}
 	at := versionRouteAddress(version)
 	routes = append(routes, platformtest.Route{IP: at.Addr().String(), Port: int(at.Port()), Service: "slips", Kind: "safe"})
+	for v := max(version-newRouteVersions+1, 1); v <= version; v++ {
+		at := newRouteAddress(v)
+		routes = append(routes, platformtest.Route{IP: at.Addr().String(), Port: int(at.Port()), Service: newRouteService.name, Kind: newRouteService.kind})
+	}
 	s.store.PutConfig(version, routes...)
 }
 
@@ -314,7 +335,8 @@
 			}
 		case 11:
 			if sv := s.pickReadyServer(); sv != nil {
-				pending.Go(func() { s.drain(sv) })
+				startAgain := s.faultRNG.IntN(2) == 0
+				pending.Go(func() { s.drain(sv, startAgain) })
 			}
 		case 12:
 			if sv := s.pickReadyServer(); sv != nil {
@@ -396,8 +418,9 @@
 	i.control.setMode(passAll)
 }
 
-// drain starts a replacement of a server, drains the server and closes it.
-func (s *soak) drain(sv *server) {
+// drain starts a replacement of a server, drains the server and closes it. Then it may start
+// it again under its ID.
+func (s *soak) drain(sv *server, startAgain bool) {
 	s.addServer(sv.Service, sv.DataCentre)
 	s.publishServer(sv, "draining")
 	sv.Drain()
@@ -408,6 +431,10 @@
 	s.disturbServer(sv, beyondRun)
 	s.publishServer(sv, "")
 	sv.Close()
+	if startAgain {
+		time.Sleep(restartPause)
+		s.startServer(sv.number, sv.Service, sv.DataCentre)
+	}
 }
 
 // failServer makes a server unresponsive for a second, or closes it for good and
@@ -456,10 +483,10 @@
 			s.violation("callers of %s got %d packets of others, or changed ones", dc, misdelivered)
 		}
 	}
-	for id, sv := range s.servers {
+	for _, sv := range slices.AppendSeq(s.formerServers, maps.Values(s.servers)) {
 		_, _, repeated, misdelivered := sv.Counts()
 		if repeated > 0 || misdelivered > 0 {
-			s.violation("%s ran %d requests more than once and got %d packets that were not for it", id, repeated, misdelivered)
+			s.violation("%s ran %d requests more than once and got %d packets that were not for it", sv.ID, repeated, misdelivered)
 		}
 	}
 	for _, svc := range services {
