--- a/internal/fanout/client.go
+++ b/internal/fanout/client.go
@@ -107,8 +107,8 @@
 		}
 	}
 	u.Age += time.Since(firstBegin)
-	if u.SentAt != 0 && u.Lag != 0 {
-		u.CurrentAt = c.senderClock.localTime(u.SentAt, firstBegin).Add(-u.Lag)
+	if sentAt := c.senderClock.localTime(u.SentAt, firstBegin); u.Lag != 0 {
+		u.CurrentAt = sentAt.Add(-u.Lag)
 	}
 	u.Path = append([]uint32{pathHash(c.instance.ID)}, u.Path...)
 	c.position = u.Position()
--- a/internal/fanout/clock_test.go
+++ b/internal/fanout/clock_test.go
@@ -91,3 +91,25 @@
 	s.Apply(&follow.Update{Revision: 8})
 	assert.Assert(t, lag() >= time.Second && lag() < time.Minute, "%s", lag())
 }
+
+// Guards against an instance that never resets flows of others while it follows one of the
+// former release, and against one that takes the age which that names for a bound.
+func TestCurrentAtOfFormerRelease(t *testing.T) {
+	const age = 50 * time.Millisecond
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ws, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		_ = sendMessage(r.Context(), ws, &follow.Update{Revision: 5, Age: age}, false)
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	n := newNode(t, "n", &platformStub{})
+	c := client{instance: Instance{"old", netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}, configVersion: noVersion}
+	defer c.close()
+	u, err := n.source.readFresh(context.Background(), &c, follow.Position{Revision: 5}, 0)
+	assert.NilError(t, err)
+	margin := time.Since(u.CurrentAt) - age - n.source.config.MaxAge - livenessTimeout
+	assert.Assert(t, margin >= 0 && margin < time.Second, "%s", margin)
+}
--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -258,6 +258,11 @@
 			c.close()
 			return u, errCycle
 		case u.Age <= s.config.MaxAge:
+			if u.SentAt == 0 {
+				// An instance of the former release tells only its age, which counts
+				// neither the time of its read nor that of the transfer.
+				u.CurrentAt = time.Now().Add(-u.Age - s.config.MaxAge - livenessTimeout)
+			}
 			return u, nil
 		}
 		if hasChanges(&u) {
--- a/internal/fanout/state.go
+++ b/internal/fanout/state.go
@@ -212,9 +212,10 @@
 	}
 	u.Era, u.Revision = s.position.Era, s.position.Revision
 	u.Age = time.Since(s.confirmedAt)
+	now := time.Now()
+	u.SentAt = max(now.Sub(s.clockStart), 1)
 	if !s.currentAt.IsZero() {
-		now := time.Now()
-		u.SentAt, u.Lag = max(now.Sub(s.clockStart), 1), max(now.Sub(s.currentAt), 1)
+		u.Lag = max(now.Sub(s.currentAt), 1)
 	}
 	u.Path = s.path
 	if !s.eraBegan.IsZero() {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -72,8 +72,8 @@
 	// zero if no such time is known. Unlike Age, it does not count on a short transfer.
 	CurrentAt time.Time `cbor:"-"`
 	// SentAt and Lag tell a follower CurrentAt: the time on the steady clock of the sender
-	// when it composed the update, and how long before that its state was the current one.
-	// Both are 0 if that is not known.
+	// when it composed the update, 0 in the former release, and how long before that its
+	// state was the current one, 0 if that is not known.
 	SentAt time.Duration `cbor:"14,keyasint,omitempty"`
 	Lag    time.Duration `cbor:"15,keyasint,omitempty"`
 	// EraAge is the time since the era began, 0 if its begin was not observed.
