--- a/internal/fanout/client.go
+++ b/internal/fanout/client.go
@@ -107,8 +107,9 @@
 		}
 	}
 	u.Age += time.Since(firstBegin)
-	if sentAt := c.senderClock.localTime(u.SentAt, firstBegin); u.Lag != 0 {
-		u.CurrentAt = sentAt.Add(-u.Lag)
+	sentAt := c.senderClock.localTime(time.Duration(u.SentAt)*time.Millisecond, firstBegin)
+	if u.Lag != 0 {
+		u.CurrentAt = sentAt.Add(-time.Duration(u.Lag) * time.Millisecond)
 	}
 	u.Path = append([]uint32{pathHash(c.instance.ID)}, u.Path...)
 	c.position = u.Position()
--- a/internal/fanout/clock_test.go
+++ b/internal/fanout/clock_test.go
@@ -58,7 +58,7 @@
 		for n, wait := range []time.Duration{0, delay} {
 			now := time.Now()
 			sent <- now
-			u := follow.Update{Complete: n == 0, Revision: uint64(5 + n), SentAt: time.Since(now.Add(-time.Hour)), Lag: lag}
+			u := follow.Update{Complete: n == 0, Revision: uint64(5 + n), SentAt: uint64(time.Since(now.Add(-time.Hour)).Milliseconds()), Lag: uint64(lag.Milliseconds())}
 			time.Sleep(wait)
 			_ = sendMessage(r.Context(), ws, &u, false)
 		}
@@ -82,7 +82,7 @@
 // and against a time that goes back.
 func TestCurrentAtPassedOn(t *testing.T) {
 	s := NewState()
-	lag := func() time.Duration { u, _, _ := s.Since(Query{}); return u.Lag }
+	lag := func() time.Duration { u, _, _ := s.Since(Query{}); return time.Duration(u.Lag) * time.Millisecond }
 	s.Apply(&follow.Update{Complete: true, Revision: 5})
 	assert.Equal(t, lag(), time.Duration(0), "not known")
 	current := time.Now().Add(-time.Second)
--- a/internal/fanout/source_test.go
+++ b/internal/fanout/source_test.go
@@ -349,9 +349,11 @@
 // exceed their share of the control traffic: 2 KB/s for 2.5 heartbeats a second to
 // each of 8 followers, and 300 bytes for a change of a target.
 func TestMessageSize(t *testing.T) {
-	heartbeat, err := cbor.Marshal(&follow.Update{Revision: 1 << 40, Age: time.Second})
+	heartbeat, err := cbor.Marshal(&follow.Update{Era: 3, Revision: 1 << 40, Age: time.Second, EraAge: 30 * 24 * time.Hour,
+		Path: []uint32{1 << 31, 1 << 31, 1 << 31}, SentAt: 30 * 24 * 3_600_000, Lag: 2000})
 	assert.NilError(t, err)
 	const tcp, frame, perSecond = 40, 4, 2.5
+	t.Logf("heartbeat of %d bytes", len(heartbeat)+tcp+frame)
 	assert.Assert(t, float64(len(heartbeat)+tcp+frame)*treeDegree*perSecond <= 2048, "%d bytes", len(heartbeat))
 	u := follow.Update{Complete: true, Revision: 7, Age: 3, AfterOutage: true, Config: &passthrough.Config{Version: 3},
 		Targets: []*follow.Target{{Name: "i-1234567890", Revision: 9, Record: passthrough.TargetRecord{Name: "i-1234567890", Identity: 1 << 39,
--- a/internal/fanout/state.go
+++ b/internal/fanout/state.go
@@ -54,7 +54,7 @@
 
 // NewState returns an empty state.
 func NewState() *State {
-	return &State{targets: map[string]*follow.Target{}, removed: map[string]removedTarget{}, changed: make(chan struct{}), lostNeighbour: make(chan struct{}, 1), clockStart: time.Now()}
+	return &State{targets: map[string]*follow.Target{}, removed: map[string]removedTarget{}, changed: make(chan struct{}), lostNeighbour: make(chan struct{}, 1), clockStart: time.Now().Add(-time.Millisecond)}
 }
 
 // neighbourLost signals that the connection to a follower or a source has ended.
@@ -213,9 +213,9 @@
 	u.Era, u.Revision = s.position.Era, s.position.Revision
 	u.Age = time.Since(s.confirmedAt)
 	now := time.Now()
-	u.SentAt = max(now.Sub(s.clockStart), 1)
+	u.SentAt = uint64(now.Sub(s.clockStart).Milliseconds())
 	if !s.currentAt.IsZero() {
-		u.Lag = max(now.Sub(s.currentAt), 1)
+		u.Lag = uint64(max(now.Sub(s.currentAt), 0).Milliseconds()) + 1
 	}
 	u.Path = s.path
 	if !s.eraBegan.IsZero() {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -73,9 +73,10 @@
 	CurrentAt time.Time `cbor:"-"`
 	// SentAt and Lag tell a follower CurrentAt: the time on the steady clock of the sender
 	// when it composed the update, 0 in the former release, and how long before that its
-	// state was the current one, 0 if that is not known.
-	SentAt time.Duration `cbor:"14,keyasint,omitempty"`
-	Lag    time.Duration `cbor:"15,keyasint,omitempty"`
+	// state was the current one, 0 if that is not known. In milliseconds, rounded towards
+	// an earlier CurrentAt, since each heartbeat has both.
+	SentAt uint64 `cbor:"14,keyasint,omitempty"`
+	Lag    uint64 `cbor:"15,keyasint,omitempty"`
 	// EraAge is the time since the era began, 0 if its begin was not observed.
 	EraAge time.Duration `cbor:"10,keyasint,omitempty"`
 	// Path identifies the instances through which the update came, the nearest first, by
