--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -8,7 +8,7 @@
 root=$PWD
 copy=$(mktemp -d)
 trap 'rm -rf "$copy"' EXIT
-git ls-files -z | xargs -0 tar -cf - | tar -xf - -C "$copy"
+git ls-files -z | tar --null -T - -cf - | tar -xf - -C "$copy"
 # prove NAME runs the tests that check the system's guarantees: those of the
 # packages that implement them, then the randomized tests and the fault matrix of
 # internal/proof. Only the former are run for patches of pass-through instances
