--- a/internal/passthrough/unconfirmed.go
+++ b/internal/passthrough/unconfirmed.go
@@ -33,7 +33,7 @@
 	switch {
 	case c.confirmed(f, t, reason):
 		return Reset, reason
-	case t == nil:
+	case t == nil || t.addressReused: // where the flow goes is not known here
 		return Drop, unconfirmed
 	}
 	return Forward, unconfirmed
