--- a/internal/fanout/clock_test.go
+++ b/internal/fanout/clock_test.go
@@ -44,6 +44,17 @@
 	})
 }
 
+// The process of the follower is suspended, and its steady clock with it. Guards against
+// messages that pass for ones from the future.
+func TestSenderClockAfterSuspension(t *testing.T) {
+	began := time.Now()
+	c := senderClock{dialedAt: began}
+	c.localTime(time.Hour, began.Add(time.Millisecond))
+	arrived := began.Add(time.Second)
+	got := c.localTime(time.Hour+6*time.Second, arrived)
+	assert.Assert(t, !got.After(arrived), "%s later than its arrival", got.Sub(arrived))
+}
+
 // Guards against a follower that takes what it knows for current at a time after the message
 // was sent: it waits in the link behind another one, and what is published meanwhile is not
 // in it.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -185,6 +185,39 @@
 	f.checkTargets()
 }
 
+// Guards against a flow on a removed route that goes on at an instance that did not open it:
+// the one that reads the platform, and one that follows it, must reset it within the bound
+// of its first packet there.
+func TestMovedFlowOnRemovedRoute(t *testing.T) {
+	f := newFleet(t, 2)
+	var flows []*platformtest.Flow
+	for n, i := range f.instances {
+		f.receiver.Store(i)
+		flow, err := f.caller.Open(slipsAddress)
+		assert.NilError(t, err)
+		_, err = flow.Request(fmt.Appendf(nil, "flow %d", n), time.Second)
+		assert.NilError(t, err)
+		flows = append(flows, flow)
+	}
+	f.store.PutConfig(2, platformtest.Route{IP: counterAddress.Addr().String(), Port: int(counterAddress.Port()), Service: "counter", Kind: "unsafe"})
+	for _, i := range f.instances {
+		f.eventually(func() bool { return i.state.Version() == 2 }, "the version without the route is in force")
+	}
+	for n, flow := range flows {
+		f.receiver.Store(f.instances[1-n])
+		var err error
+		first := time.Now()
+		for k := 0; err == nil && time.Since(first) < f.instances[0].settings.ApplyWithin; k++ {
+			_, err = flow.Request(fmt.Appendf(nil, "flow %d, request %d", n, k), time.Second)
+			time.Sleep(20 * time.Millisecond)
+		}
+		assert.ErrorIs(t, err, platformtest.ErrReset, "at %s", f.instances[1-n].settings.Instance)
+		assert.Assert(t, !flow.ResetByTarget())
+		t.Logf("reset at %s %s after the first packet", f.instances[1-n].settings.Instance, time.Since(first).Round(time.Millisecond))
+	}
+	f.checkTargets()
+}
+
 // Guards against a request that is interrupted by a planned stop, and against an
 // instance that exits before the fabric has taken it out of rotation.
 func TestPlannedStop(t *testing.T) {
--- a/internal/passthrough/random_test.go
+++ b/internal/passthrough/random_test.go
@@ -24,6 +24,7 @@
 	evacuated     []ids.DataCentre    // by core: the evacuated data centre, or none
 	regions       [][]string          // by core: the regions that its configuration version allows
 	opened        map[FlowKey]Decision
+	opener        map[FlowKey]int // the core that placed the flow
 	nextFlow      int
 }
 
@@ -37,7 +38,7 @@
 }
 
 func newModel(t *rapid.T) *model {
-	m := &model{t: t, now: startTime, opened: map[FlowKey]Decision{}}
+	m := &model{t: t, now: startTime, opened: map[FlowKey]Decision{}, opener: map[FlowKey]int{}}
 	for i := range 3 {
 		m.cores = append(m.cores, New(Settings{DataCentre: []ids.DataCentre{"a", "b", "b"}[i], MaxFlows: 64, FlowLifetime: time.Hour, Seed: uint64(i), Regions: modelRegions}))
 		m.usable = append(m.usable, map[string]TargetRecord{})
@@ -133,7 +134,7 @@
 		assert.Equal(m.t, r.Service, service)
 		assert.Assert(m.t, m.mayPlace(i, &r), "target %s is in an evacuated data centre or in another region", r.Name)
 		m.cores[i].HandlePacket(m.now.Add(ms), requestPacket(f, d.Cookie))
-		m.opened[f] = d
+		m.opened[f], m.opener[f] = d, i
 	default:
 		assert.Assert(m.t, d.Reason == NoTarget || d.Reason == AllEvacuated || d.Reason == NoTargetInRegion, "%s", d.Reason)
 		for _, r := range m.usable[i] {
@@ -144,8 +145,8 @@
 }
 
 // sendPacket sends a packet of an open flow through any core. It must be forwarded to
-// the target of the flow or dropped. It may be reset only if the route or the target
-// was removed.
+// the target of the flow or dropped. It may be reset only by the core that opened it, since
+// no core knows that it is current, and only if the route or the target was removed there.
 func (m *model) sendPacket() {
 	for f, d := range m.opened {
 		i := m.drawCore()
@@ -157,6 +158,7 @@
 			assert.Equal(m.t, got.Identity, d.Identity)
 		case Reset:
 			dropped := m.version[i] != 0 && m.droppedRoutes[i][f.Service]
+			assert.Equal(m.t, m.opener[f], i, "reset by an instance that may lag")
 			assert.Assert(m.t, dropped || (got.Reason == TargetGone && m.removed[i][d.Target]), "reset of an open flow")
 		default:
 			_, usable := m.usable[i][d.Target]
--- a/internal/passthrough/unconfirmed_test.go
+++ b/internal/passthrough/unconfirmed_test.go
@@ -76,14 +76,45 @@
 	}
 	opener.ApplyConfig(testConfig(3))
 	assert.Equal(t, opener.HandlePacket(first, requestPacket(testFlow(1, newAddress), d.Cookie)).Verdict, Reset, "at once where it was opened")
-	for _, core := range []*Core{opener, other} {
-		core.Tick(first.Add(time.Minute))
-		for range sweepParts {
-			core.Tick(first.Add(2 * time.Minute))
-			first = first.Add(sweepInterval)
-		}
-		assert.Equal(t, len(core.flows.index), 0)
+	end := first.Add(resetMemory + 2*sweepParts*sweepInterval)
+	for ; first.Before(end); first = first.Add(sweepInterval) {
+		opener.Tick(first)
+		other.Tick(first)
 	}
+	assert.Equal(t, len(opener.flows.index)+len(other.flows.index), 0, "flows that were reset are forgotten")
+}
+
+// Guards against a first packet that is forgotten when the target of its cookie becomes
+// known: the flow would have to wait for another update.
+func TestFirstPacketBeforeTargetIsKnown(t *testing.T) {
+	c := New(Settings{DataCentre: "a", MaxFlows: 16, FlowLifetime: time.Minute})
+	c.ApplyConfig(testConfig(1))
+	r := testRecord(1, "counter", "a")
+	p := requestPacket(testFlow(1, newAddress), cookieOf(r.Identity))
+	assert.Equal(t, c.HandlePacket(startTime, p), Decision{Reason: RouteUnconfirmed})
+	c.PutTarget(startTime, &r)
+	assert.Equal(t, c.HandlePacket(startTime.Add(200*ms), p).Verdict, Forward)
+	c.ConfirmCurrent(startTime)
+	assert.Equal(t, c.HandlePacket(startTime.Add(600*ms), p).Verdict, Reset)
+}
+
+// An opening packet and its copy reach two instances, which choose different targets.
+// Guards against a reset by the instance whose target has lost: it has opened the flow, but
+// not on the target that the flow has, which it knows only as gone.
+func TestFlowOnTargetOfOtherInstance(t *testing.T) {
+	opener, late := twoCores()
+	opener.RemoveTarget(startTime, "counter-1")
+	late.targets.byName["counter-2"].Draining = true
+	late.RemoveTarget(startTime, "counter-2")
+	f := testFlow(1, counterAddress)
+	assert.Equal(t, late.HandlePacket(startTime, openingPacket(f, 0)).Target, "counter-1")
+	d := opener.HandlePacket(startTime.Add(200*ms), openingPacket(f, 1))
+	assert.Equal(t, d.Target, "counter-2")
+	assert.Equal(t, late.HandlePacket(startTime.Add(210*ms), requestPacket(f, d.Cookie)).Reason, TargetUnconfirmed)
+	late.ConfirmCurrent(startTime.Add(200 * ms))
+	assert.Equal(t, late.HandlePacket(startTime.Add(220*ms), requestPacket(f, d.Cookie)).Reason, TargetUnconfirmed)
+	late.ConfirmCurrent(startTime.Add(210 * ms))
+	assert.Equal(t, late.HandlePacket(startTime.Add(230*ms), requestPacket(f, d.Cookie)).Verdict, Reset)
 }
 
 // Guards against a reset by an instance that has seen a route go and does not know yet that
