--- a/internal/fanout/restore_test.go
+++ b/internal/fanout/restore_test.go
@@ -114,6 +114,24 @@
 	assert.Equal(t, other.reads.Load(), reads+1)
 }
 
+// Guards against a starting instance that resets flows of others by the copy that it has
+// read, while the answer of another instance, which may know better, is under way.
+func TestNotCurrentWhileAnswerIsPending(t *testing.T) {
+	p := &platformStub{}
+	p.revision.Store(500)
+	p.era.Store(4)
+	other := newNode(t, "o", p)
+	other.state.Apply(&follow.Update{Complete: true, Era: 4, Revision: 500})
+	for delay, current := range map[time.Duration]bool{0: true, 2 * startPeerTimeout: false} {
+		other.delay.Store(int64(delay))
+		n := newNode(t, "n", p)
+		n.source.setRanking(Ranking{Sources: []Instance{{"o", other.address()}}})
+		u, err := n.source.ReadAll(context.Background(), time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, !u.CurrentAt.IsZero(), current, "answer after %s", delay)
+	}
+}
+
 // Guards against a late answer that a starting instance ignores because it serves
 // already, as on a machine that is busy.
 func TestLateKnowledgeOfPeers(t *testing.T) {
--- a/internal/fanout/source_test.go
+++ b/internal/fanout/source_test.go
@@ -72,7 +72,7 @@
 	if p.historyLost.Load() {
 		return follow.Update{}, follow.ErrHistoryLost
 	}
-	u := follow.Update{Complete: after.Revision == 0, Direct: true, Era: p.era.Load(), Revision: max(p.revision.Load(), after.Revision)}
+	u := follow.Update{Complete: after.Revision == 0, Direct: true, Era: p.era.Load(), Revision: max(p.revision.Load(), after.Revision), CurrentAt: time.Now()}
 	if u.Complete {
 		u.Config = p.config
 	}
--- a/internal/fanout/start.go
+++ b/internal/fanout/start.go
@@ -69,6 +69,7 @@
 		addKnowledge(u, peer)
 	case <-time.After(startPeerTimeout):
 		s.late = known
+		u.CurrentAt = time.Time{} // the platform may lack what the answer tells
 	}
 }
 
--- a/internal/follow/reconcile.go
+++ b/internal/follow/reconcile.go
@@ -111,9 +111,6 @@
 	if !r.apply(now, u) {
 		return false
 	}
-	if !r.settled(now) {
-		u.CurrentAt = time.Time{} // what is held may turn out to be outdated
-	}
 	if u.Before != nil {
 		learned := *u.Before
 		r.learn(now, &learned)
@@ -123,6 +120,9 @@
 		learned.CurrentAt = u.CurrentAt
 		*u = learned
 	}
+	if !r.settled(now) {
+		u.CurrentAt = time.Time{} // what is held may turn out to be outdated
+	}
 	return true
 }
 
--- a/internal/follow/reconcile_test.go
+++ b/internal/follow/reconcile_test.go
@@ -242,4 +242,9 @@
 	u := Update{Complete: true, Era: 4, Revision: 510, EraAge: time.Second, CurrentAt: epoch}
 	assert.Assert(t, starter.Apply(epoch, &u))
 	assert.Assert(t, u.CurrentAt.IsZero(), "the time since the restore counts, not since the start")
+	reader := NewReconciler()
+	before := Update{Complete: true, Era: 4, Revision: 505, EraAge: time.Second}
+	u = Update{Complete: true, Era: 4, Revision: 510, CurrentAt: epoch, Before: &before}
+	assert.Assert(t, reader.Apply(epoch, &u))
+	assert.Assert(t, u.CurrentAt.IsZero(), "another instance tells when the restore was")
 }
--- a/internal/passthrough/core.go
+++ b/internal/passthrough/core.go
@@ -94,7 +94,7 @@
 	NoRoute                         // there is no route for this address
 	RouteDropped                    // the route of the open flow has been removed
 	NoTarget                        // the service has no target
-	RouteUnconfirmed                // no route for the address of an open flow is known, but one may have been added
+	RouteUnconfirmed                // no route for an address in use is known, but one may have been added
 	UnknownCookie                   // the cookie identifies no known target
 	NoCookie                        // the packet is not an opening packet and has no cookie
 	TargetGone                      // the target of the open flow has terminated
--- a/internal/passthrough/flow.go
+++ b/internal/passthrough/flow.go
@@ -28,7 +28,7 @@
 	nextSeq       uint32 // next sequence number after the caller's data so far
 	ack           uint32 // highest acknowledgement number of the caller so far
 	lastSeen      ids.Time
-	forwardedAt   ids.Time // when the last opening packet was sent to target; for flowAdopted, when the first packet arrived
+	forwardedAt   ids.Time // when the last opening packet was sent to target, or an adopted flow's first packet
 	requestedAt   ids.Time // when the first packet of the active request arrived
 }
 
