--- a/internal/fanout/state.go
+++ b/internal/fanout/state.go
@@ -54,7 +54,13 @@
 
 // NewState returns an empty state.
 func NewState() *State {
-	return &State{targets: map[string]*follow.Target{}, removed: map[string]removedTarget{}, changed: make(chan struct{}), lostNeighbour: make(chan struct{}, 1), clockStart: time.Now().Add(-time.Millisecond)}
+	return &State{
+		targets:       map[string]*follow.Target{},
+		removed:       map[string]removedTarget{},
+		changed:       make(chan struct{}),
+		lostNeighbour: make(chan struct{}, 1),
+		clockStart:    time.Now().Add(-time.Millisecond), // a SentAt of 0 stands for the former release
+	}
 }
 
 // neighbourLost signals that the connection to a follower or a source has ended.
--- a/soak/routes_test.go
+++ b/soak/routes_test.go
@@ -87,14 +87,14 @@
 			return
 		}
 		s.mu.Lock()
-		now := s.servers[fields[1]]
+		responder := s.servers[fields[1]]
 		removedAt, removed := s.acknowledgedAt[version+newRouteVersions]
 		s.mu.Unlock()
-		if sv != nil && now != sv && now.ID != sv.ID {
-			s.violation("a flow to the route of version %d moved from %s to %s", version, sv.ID, now.ID)
+		if sv != nil && responder.ID != sv.ID {
+			s.violation("a flow to the route of version %d moved from %s to %s", version, sv.ID, responder.ID)
 		}
 		if sv == nil {
-			sv = now
+			sv = responder
 		}
 		if removed && time.Since(removedAt) > applyWithin+resetWithin && undisturbedBefore && s.allUndisturbed() {
 			s.violation("a flow on the route of version %d goes on %s after its removal", version, time.Since(removedAt))
