A target that accepts connections is not unreachable, however late it answers

Cause: a health check waits for a slot like a request. A missing answer within 0.3 s was taken for a missing target.

Evidence: the stand-in answered both attempts, after 341 and 493 ms; their connections had been accepted at once.

Change: a target is unreachable only if it refuses connections or accepts none in time; the reference is held to the same. One that accepts and does not answer is reported as accepted: logged, counted, no reset, and it ends an isolation, since it can be reached.

Why it works: accepting a connection needs no slot, while a crashed target refuses and one without power or behind a partition accepts nothing.

--- a/internal/forwarder/check.go
+++ b/internal/forwarder/check.go
@@ -14,9 +14,9 @@
 const (
 	// checkWorkers is the number of concurrent health checks.
 	checkWorkers = 4
-	// checkTimeout is the time within which a health check has to be answered, by the
-	// reference and from then on by the target. A backend server responds in about 1 ms,
-	// or in about 150 ms when its queue is full.
+	// checkTimeout is the time within which the connection of a health check has to be
+	// accepted, by the reference and from then on by the target. That takes one round trip,
+	// about 15 ms between data centres, also while all slots of a backend server are in use.
 	checkTimeout = 300 * time.Millisecond
 )
 
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -395,6 +395,32 @@
 	f.checkTargets()
 }
 
+// Guards against a flow that is reset because its target, whose slots are all in use, has
+// not answered a health check in time.
+func TestFlowOfBusyTargetIsNotReset(t *testing.T) {
+	f := newFleet(t, 1)
+	flow, err := f.caller.Open(counterAddress)
+	assert.NilError(t, err)
+	for _, target := range f.targets[:2] {
+		target.SetBusy(2 * time.Second)
+	}
+	done := make(chan struct{})
+	go func() { // other targets answer meanwhile
+		defer close(done)
+		for i := range 100 {
+			if _, err := f.request(slipsAddress, fmt.Sprint("slip-", i)); err != nil {
+				t.Errorf("slip %d: %v", i, err)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	_, err = flow.Request([]byte("claim"), 4*time.Second)
+	<-done
+	assert.NilError(t, err)
+	f.eventually(func() bool { return strings.Contains(f.instances[0].log.String(), "reason=accepted") }, "the check and its result are logged")
+	f.checkTargets()
+}
+
 // Guards against an admin interface that is unavailable while packets are forwarded, or
 // whose metrics, state or explanations are wrong.
 func TestAdminInterface(t *testing.T) {
--- a/internal/passthrough/event.go
+++ b/internal/passthrough/event.go
@@ -16,7 +16,7 @@
 	TargetLapsed                     // the record of a target is missing after an outage of the platform
 	TargetSuspected                  // a target is suspected to have failed and gets no new flows for a while
 	TargetTrusted                    // a suspected target has proved that it is alive
-	TargetChecked                    // a health check found a target replaced or unreachable
+	TargetChecked                    // a health check found a target replaced, unreachable or slow to answer
 	EvacuationBegan                  // the targets of a data centre get no new flows
 	EvacuationEnded                  // the targets of a data centre get new flows again
 	IsolationBegan                   // no new flow reaches a target; the instance leaves the rotation
--- a/internal/passthrough/trust.go
+++ b/internal/passthrough/trust.go
@@ -189,8 +189,8 @@
 	Address   Endpoint
 	Path      string
 	// Reference is the address of a target that has answered recently; its port is
-	// 0 if there is none. If the reference does not answer within the same time
-	// either, the check proves nothing about Target: this instance or its link may
+	// 0 if there is none. If the reference does not accept a connection within the same
+	// time either, the check proves nothing about Target: this instance or its link may
 	// be overloaded.
 	Reference     Endpoint
 	ReferencePath string
@@ -217,21 +217,25 @@
 // it may be wrong either way, and the traffic of callers is better evidence.
 const (
 	CheckAnswered     CheckResult = iota // the target has answered, with any status
-	CheckUnreachable                     // the connection was refused or timed out while the reference answered
+	CheckUnreachable                     // the target accepted no connection while the reference accepted one
 	CheckReplaced                        // another target has its address, so it has terminated
-	CheckInconclusive                    // neither the target nor the reference answered
+	CheckInconclusive                    // neither the target nor the reference accepted a connection
+	CheckAccepted                        // the target accepted a connection but has not answered yet: its slots may all be in use
 )
 
-var checkNames = [...]string{"answered", "unreachable", "replaced", "inconclusive"}
+var checkNames = [...]string{"answered", "unreachable", "replaced", "inconclusive", "accepted"}
 
 func (r CheckResult) String() string { return checkNames[r] }
 
+// reached reports whether the target accepted a connection.
+func (r CheckResult) reached() bool { return r == CheckAnswered || r == CheckAccepted }
+
 // ReportCheck records the outcome of a health check that began at the given time. A
 // target counts as unreachable only if another target has proved to be alive since
 // then. Otherwise this instance itself may be cut off from the network.
 func (c *Core) ReportCheck(now ids.Time, k Check, began ids.Time, result CheckResult) {
 	t := c.targets.byName[k.Target]
-	if t != nil && t.usable() && result == CheckAnswered && c.Isolated() {
+	if t != nil && t.usable() && result.reached() && c.Isolated() {
 		c.recordOpened(now)
 	}
 	if t == nil || t.StartedAt != k.StartedAt || t.lastAlive >= began {
@@ -245,6 +249,7 @@
 	case result == CheckUnreachable && c.lastAlive > began:
 		t.unreachableUntil = now.Add(checkTTL)
 		c.resetStalled(now, t, TargetUnreachable)
+	case result == CheckAccepted: // alive, so its flows are kept
 	default:
 		return
 	}
--- a/internal/passthrough/trust_test.go
+++ b/internal/passthrough/trust_test.go
@@ -134,6 +134,7 @@
 		"unreachable, idle":         {result: CheckUnreachable, othersAlive: true, idle: true, want: Forward, newFlows: true},
 		"unreachable, cut off here": {result: CheckUnreachable, want: Forward, newFlows: true},
 		"answered":                  {result: CheckAnswered, othersAlive: true, want: Forward, newFlows: true},
+		"accepted, not answered":    {result: CheckAccepted, othersAlive: true, want: Forward, newFlows: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := testCore()
