A target whose expired record comes back as draining is draining, not gone

A target whose record had expired, and which then published itself as draining, kept the state gone: `show` said so, and after the lifetime of a flow (60 s) its entry was deleted and packets of its open flows dropped.

Cause: the state machine has no way from gone to draining, and only a record that is ready began a new life.

Change: any record of a target that is gone begins a new life.

Result: TestExpiredRecordIsBackAsDraining failed before ("gone" instead of "draining") and passes, as do the other tests of the package.

--- a/internal/passthrough/core_test.go
+++ b/internal/passthrough/core_test.go
@@ -352,3 +352,19 @@
 	assert.Equal(t, verdict(2*time.Hour+recordGracePeriod-ms), Drop)
 	assert.Equal(t, verdict(2*time.Hour+recordGracePeriod), Reset)
 }
+
+// Guards against a live target that counts as gone, and whose flows are dropped after the
+// lifetime of a flow, since its record expired and came back as draining.
+func TestExpiredRecordIsBackAsDraining(t *testing.T) {
+	c := testCore()
+	r := testRecord(1, "counter", "a")
+	c.RemoveTarget(startTime, r.Name)
+	target := c.targets.byName[r.Name]
+	assert.Equal(t, c.lifecycleName(target), "gone")
+	r.Draining = true
+	c.PutTarget(startTime.Add(time.Second), &r)
+	assert.Equal(t, c.lifecycleName(target), "draining")
+	assert.Assert(t, !target.usable())
+	c.Tick(startTime.Add(c.settings.FlowLifetime + time.Second))
+	assert.Assert(t, c.targets.byCookie[target.cookie] == target, "its open flows are still forwarded")
+}
--- a/internal/passthrough/target.go
+++ b/internal/passthrough/target.go
@@ -152,12 +152,13 @@
 	}
 	t.missingSince, t.presumedDead = 0, false
 	t.slowStartUntil = now.Add(r.SlowStart)
+	if t.lifecycle.State() == chart.BackendGone {
+		t.lifecycle = chart.Backend.New()
+		changed = true
+	}
 	switch {
 	case r.Draining:
 		t.lifecycle.Fire(chart.BackendDrain)
-	case t.lifecycle.State() == chart.BackendGone:
-		t.lifecycle = chart.Backend.New()
-		changed = true
 	case t.lifecycle.State() == chart.BackendDraining:
 		t.lifecycle.Fire(chart.BackendRestart)
 	}
