A removal of the present era is no knowledge from before a restore

Cause: a full state for a reader without a position has the targets removed in the last minute, all marked as known before a restore, also without one. The reader knew a later write, kept the mark for its own removal, and then believed only a later write seen by a second full read, which is never due without a restore.

Evidence: both instances had the revision of the returned record; only one logged its return.

Change: State remembers the era of each removal and sends one of the present era as a plain removal with its revision.

Why it works: within an era the revision orders removal and return.

--- a/internal/fanout/restore_test.go
+++ b/internal/fanout/restore_test.go
@@ -243,7 +243,7 @@
 	return &modelInstance{reconciler: follow.NewReconciler(), state: NewState(), inUse: map[string]bool{}}
 }
 
-func (i *modelInstance) apply(t *rapid.T, now time.Time, u follow.Update) {
+func (i *modelInstance) apply(t assert.TestingT, now time.Time, u follow.Update) {
 	u.Targets = slices.Clone(u.Targets)
 	if u.ConfigDelta != nil && u.ConfigDelta.Base != i.version || !i.reconciler.Apply(now, &u) {
 		return
@@ -440,3 +440,37 @@
 		}
 	})
 }
+
+// record returns the record of target x as its write seq.
+func record(revision uint64, seq int64, draining bool) *follow.Target {
+	return &follow.Target{Name: "x", Revision: revision, Record: passthrough.TargetRecord{Name: "x", StartedAt: 5, Seq: seq, Draining: draining}}
+}
+
+// readsFrom applies what another instance sends to i, from its position on or, with
+// fullState, everything.
+func (i *modelInstance) readsFrom(t assert.TestingT, now time.Time, other *modelInstance, fullState bool) {
+	q := Query{After: i.reconciler.Position(), Version: i.version}
+	if fullState {
+		q = Query{}
+	}
+	u, _, ok := other.state.Since(q)
+	assert.Assert(t, ok)
+	i.apply(t, now, u)
+}
+
+// Guards against a removal of the present era that another instance takes for one that a
+// restore may have undone (review/9): it went on believing it when the target was back.
+func TestRemovalOfThisEraIsNotHeld(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, b := newModelInstance(), newModelInstance()
+	a.apply(t, now, follow.Update{Complete: true, Era: 1, Revision: 10, Targets: []*follow.Target{record(5, 3, false)}})
+	b.apply(t, now, follow.Update{Complete: true, Era: 1, Revision: 10, Targets: []*follow.Target{record(5, 9, false)}})
+	a.apply(t, now, follow.Update{Era: 1, Revision: 12, Targets: []*follow.Target{{Name: "x", Revision: 12, Removed: true}}})
+	b.readsFrom(t, now, a, true) // its history is lost, and the platform does not answer
+	assert.Assert(t, !b.inUse["x"])
+	assert.Equal(t, b.reconciler.Held(), 0)
+	for _, i := range []*modelInstance{a, b} {
+		i.apply(t, now, follow.Update{Era: 1, Revision: 15, Targets: []*follow.Target{record(15, 12, false)}})
+		assert.Assert(t, i.inUse["x"])
+	}
+}
--- a/internal/fanout/state.go
+++ b/internal/fanout/state.go
@@ -44,6 +44,7 @@
 // removedTarget is a removed target with its last record.
 type removedTarget struct {
 	target *follow.Target
+	era    uint64 // in which it was removed, or published last
 	at     time.Time
 }
 
@@ -85,7 +86,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pruneRemoved()
-	former := s.targets
+	former, formerPosition := s.targets, s.position
 	if u.Complete {
 		s.targets = make(map[string]*follow.Target, len(u.Targets))
 		s.held = 0
@@ -105,7 +106,7 @@
 		s.evacuations, s.evacuationsAt = u.Evacuations, u.Revision
 	}
 	for _, t := range u.Targets {
-		s.put(t)
+		s.put(t, u.Era)
 		if !u.Complete {
 			s.changes = append(s.changes, change{t.Revision, t.Name})
 		}
@@ -113,7 +114,7 @@
 	if u.Complete {
 		for name, t := range former {
 			if s.targets[name] == nil {
-				s.remember(t)
+				s.remember(t, formerPosition.Era)
 			}
 		}
 	}
@@ -138,8 +139,8 @@
 	}
 }
 
-// put replaces the entry of a target.
-func (s *State) put(t *follow.Target) {
+// put replaces the entry of a target by one of the given era.
+func (s *State) put(t *follow.Target, era uint64) {
 	old := s.targets[t.Name]
 	if old != nil && old.Held != follow.NotHeld {
 		s.held--
@@ -148,7 +149,7 @@
 		s.held++
 	}
 	if t.Removed && !t.Unreadable && t.Held == follow.NotHeld {
-		s.remember(t)
+		s.remember(t, era)
 		delete(s.targets, t.Name)
 		return
 	}
@@ -157,9 +158,9 @@
 }
 
 // remember keeps the last record of a target that is removed.
-func (s *State) remember(t *follow.Target) {
+func (s *State) remember(t *follow.Target, era uint64) {
 	if t.Record.Name != "" {
-		s.removed[t.Name] = removedTarget{&follow.Target{Name: t.Name, Removed: true, Held: follow.HeldNewer, Record: t.Record, CopySeq: t.CopySeq}, time.Now()}
+		s.removed[t.Name] = removedTarget{&follow.Target{Name: t.Name, Revision: t.Revision, Removed: true, Record: t.Record, CopySeq: t.CopySeq}, era, time.Now()}
 	}
 }
 
@@ -239,7 +240,13 @@
 		}
 		if q.Starting || !sameEra {
 			for _, r := range s.removed {
-				u.Targets = append(u.Targets, r.target)
+				t := r.target
+				if r.era != s.position.Era {
+					former := *t // a restore may have undone the removal
+					former.Held = follow.HeldNewer
+					t = &former
+				}
+				u.Targets = append(u.Targets, t)
 			}
 		}
 		return u, s.changed, true
