Former releases get published records only: test; no lookup for held changes

pt-17-held-to-former-release survived: nothing tested that a full state for an instance of a former release leaves out what is held. The new test does. pt-17-held-in-place-of-change survived as the case cannot occur: a change of the present era ends the hold of its target. The lookup and the mutation are removed.

--- a/internal/fanout/restore_test.go
+++ b/internal/fanout/restore_test.go
@@ -185,6 +185,23 @@
 	assert.ErrorContains(t, err, "404")
 }
 
+// Guards against an instance of a former release that gets a held record and keeps it for
+// good, as its marks for that cannot tell it when to stop.
+func TestFormerReleaseGetsPublishedRecords(t *testing.T) {
+	s := NewState()
+	s.Apply(&follow.Update{Complete: true, Era: 1, Revision: 8, Targets: []*follow.Target{target("left", 5, false)}})
+	held := *target("gone", 10, true)
+	held.Held = follow.HeldNewer
+	missing := *target("missing", 10, false)
+	missing.Held = follow.HeldMissing
+	s.Apply(&follow.Update{Complete: true, Era: 2, Revision: 10, Targets: []*follow.Target{&held, &missing}, Overridden: []*follow.Target{target("gone", 9, false)}})
+	for former, want := range map[bool]int{true: 1, false: 4} {
+		u, _, _ := s.Since(Query{FormerRelease: former})
+		assert.Equal(t, len(u.Targets), want, "former release: %t", former)
+		assert.Assert(t, slices.ContainsFunc(u.Targets, func(t *follow.Target) bool { return t.Name == "gone" && !t.Removed && t.Held == follow.NotHeld }))
+	}
+}
+
 // modelStore is a platform with a copy of itself.
 type modelStore struct {
 	era, revision uint64
--- a/internal/fanout/state.go
+++ b/internal/fanout/state.go
@@ -266,9 +266,9 @@
 		first--
 	}
 	for _, c := range s.changes[first:] {
-		t := s.published(c.name)
+		t, present := s.targets[c.name] // not held: a change of this era is in force
 		switch {
-		case t == nil:
+		case !present:
 			t = &follow.Target{Name: c.name, Revision: c.revision, Removed: true}
 		case t.Revision != c.revision:
 			continue // a later change of this target follows
@@ -278,14 +278,6 @@
 	return u, s.changed, true
 }
 
-// published returns the published record of a target, or nil.
-func (s *State) published(name string) *follow.Target {
-	if t := s.targets[name]; t != nil && t.Held == follow.NotHeld {
-		return t
-	}
-	return s.overridden[name]
-}
-
 // allTargets returns the targets of a full state. With held, it has also those held, beside
 // what is published about them; with removed also those that are remembered as removed.
 func (s *State) allTargets(held, removed bool) []*follow.Target {
