Test of the end of a hold, which is no change for followers

pt-17-released-as-change survived: with it, the record that is used again is logged behind later changes, and a follower at a position between them gets no change before it. TestEndOfHoldIsNoChange is red on the mutation.

--- a/internal/fanout/restore_test.go
+++ b/internal/fanout/restore_test.go
@@ -202,6 +202,24 @@
 	}
 }
 
+// Guards against a follower that misses a change since the source has used an older record
+// again after it: the end of a hold is not a change.
+func TestEndOfHoldIsNoChange(t *testing.T) {
+	s := NewState()
+	held := *target("gone", 9, true)
+	held.Held = follow.HeldNewer
+	s.Apply(&follow.Update{Complete: true, Era: 2, Revision: 10, Targets: []*follow.Target{&held}, Overridden: []*follow.Target{target("gone", 9, false)}})
+	s.Apply(&follow.Update{Era: 2, Revision: 12, Targets: []*follow.Target{target("a", 12, false)}})
+	s.Apply(&follow.Update{Era: 2, Revision: 12, Targets: []*follow.Target{target("gone", 9, false)}})
+	assert.Equal(t, s.Held(), 0)
+	s.Apply(&follow.Update{Era: 2, Revision: 14, Targets: []*follow.Target{target("b", 14, false)}})
+	u, _, _ := s.Since(Query{After: follow.Position{Era: 2, Revision: 11}})
+	assert.Assert(t, !u.Complete)
+	assert.Equal(t, len(u.Targets), 2)
+	u, _, _ = s.Since(Query{})
+	assert.Equal(t, len(u.Targets), 3, "each target once")
+}
+
 // modelStore is a platform with a copy of itself.
 type modelStore struct {
 	era, revision uint64
