Reconciler: one list of what was known before a restore

What an instance knew before a restore, by its entries and by a former hold, is offered in one loop instead of three; a held target stands once in a full state, also where its removal was learned from another instance.

--- a/internal/follow/reconcile.go
+++ b/internal/follow/reconcile.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"time"
 
 	"arbutusdock.example/arbutusdock/internal/passthrough"
@@ -274,26 +275,21 @@
 		published = append(published, t)
 	}
 	u.Targets = published
-	r.former = make(map[string]*Target, len(former))
+	for name, k := range r.known {
+		if k.list != r.lists && (!k.target.Removed || k.target.Unreadable) {
+			r.put(now, &k, &Target{Name: name, Revision: u.Revision, Removed: true})
+		}
+	}
 	if u.Restored {
 		for name, k := range before {
-			if f := former[name]; f != nil {
-				r.offer(now, f)
-			} else if !k.target.Unreadable {
-				r.offer(now, k.target)
-			}
-		}
-	} else {
-		for name, k := range r.known {
-			if k.list != r.lists && (!k.target.Removed || k.target.Unreadable) {
-				r.put(now, &k, &Target{Name: name, Revision: u.Revision, Removed: true})
+			if former[name] == nil && !k.target.Unreadable {
+				former[name] = k.target
 			}
 		}
 	}
-	for name, f := range former {
-		if _, offered := before[name]; !u.Restored || !offered {
-			r.offer(now, f)
-		}
+	r.former = map[string]*Target{}
+	for _, f := range former {
+		r.offer(now, f)
 	}
 	for _, f := range held {
 		r.offer(now, f)
@@ -305,16 +301,16 @@
 // restore is in force.
 func (r *Reconciler) deliverFormer(now time.Time, u *Update) {
 	r.releaseReusedAddresses(now)
+	missing := maps.Clone(r.former)
 	for i, t := range u.Targets {
 		if f := r.former[t.Name]; f != nil {
 			u.Targets[i] = f
 			u.Overridden = append(u.Overridden, t)
+			delete(missing, t.Name)
 		}
 	}
-	for _, f := range r.former {
-		if f.Held == HeldMissing {
-			u.Targets = append(u.Targets, f)
-		}
+	for _, f := range missing {
+		u.Targets = append(u.Targets, f)
 	}
 }
 
@@ -372,7 +368,7 @@
 	case r.inForce(now, f, k):
 		held := *f
 		held.Held, held.Revision = HeldMissing, r.copyRevision
-		if k != nil && (!k.target.Removed || k.target.Unreadable) {
+		if k != nil && !k.target.Removed {
 			held.Held, held.Revision = HeldNewer, k.target.Revision
 		}
 		r.former[f.Name] = &held
