The model of a fleet applies updates with the code of the forwarder

Update.ApplyTo passes an update to a core; the forwarder and the model use it, where the model had a copy. The model now also has entries that another writer makes unreadable. The tests of what is held are a file of their own, unchanged.

--- a/internal/fanout/convergence_test.go
+++ b/internal/fanout/convergence_test.go
@@ -59,10 +59,9 @@
 	p.revision++
 	if t != nil {
 		t.Revision = p.revision
-		if t.Removed {
+		p.items[t.Name] = t
+		if t.Removed && !t.Unreadable {
 			delete(p.items, t.Name)
-		} else {
-			p.items[t.Name] = t
 		}
 	}
 	p.changes, p.revisions = append(p.changes, t), append(p.revisions, p.revision)
@@ -179,7 +178,7 @@
 	x.record.Seq++
 	written := &follow.Target{Name: x.record.Name, Record: x.record}
 	s.platform.leases[x.record.Name] = s.now
-	if old := s.platform.items[x.record.Name]; old != nil && old.Record.StartedAt == x.record.StartedAt && old.Record.Draining == x.record.Draining {
+	if old := s.platform.items[x.record.Name]; old != nil && !old.Unreadable && old.Record.StartedAt == x.record.StartedAt && old.Record.Draining == x.record.Draining {
 		written.Revision = old.Revision
 		s.platform.items[x.record.Name] = written
 		return
@@ -295,30 +294,10 @@
 	s.deliver(n, &u)
 }
 
-// deliver is Forwarder.deliver and Forwarder.apply.
+// deliver is Forwarder.deliver.
 func (s *sim) deliver(n *simNode, u *follow.Update) {
 	n.state.Apply(u)
-	now := s.coreTime()
-	if u.AfterOutage {
-		n.core.PlatformRecovered(now)
-	}
-	if u.Config != nil {
-		n.core.ApplyConfig(u.Config)
-	}
-	var present []*passthrough.TargetRecord
-	for _, t := range u.Targets {
-		switch {
-		case t.Removed:
-			n.core.RemoveTarget(now, t.Name)
-		case u.Complete:
-			present = append(present, &t.Record)
-		default:
-			n.core.PutTarget(now, &t.Record)
-		}
-	}
-	if u.Complete {
-		n.core.ReplaceTargets(now, present)
-	}
+	u.ApplyTo(s.coreTime(), n.core)
 }
 
 // disturb draws one event and carries it out.
@@ -329,7 +308,7 @@
 	x := s.targets[rapid.IntRange(0, len(s.targets)-1).Draw(s.t, "target")]
 	n := rapid.IntRange(0, len(s.nodes)-1).Draw(s.t, "instance")
 	up := !s.now.Before(s.platform.downUntil)
-	switch rapid.SampledFrom([]string{"configure", "drain", "crash", "start", "start", "cut target", "outage", "copy", "restore", "forget history", "cut instance", "restart instance", "follow", "lose reads"}).Draw(s.t, "event") {
+	switch rapid.SampledFrom([]string{"configure", "drain", "crash", "start", "start", "cut target", "overwrite", "outage", "copy", "restore", "forget history", "cut instance", "restart instance", "follow", "lose reads"}).Draw(s.t, "event") {
 	case "configure":
 		if up {
 			s.version++
@@ -349,6 +328,10 @@
 		}
 	case "cut target":
 		x.cutUntil = seconds(1, 6)
+	case "overwrite": // by another writer
+		if up && s.platform.items[x.record.Name] != nil {
+			s.platform.write(&follow.Target{Name: x.record.Name, Removed: true, Unreadable: true})
+		}
 	case "outage":
 		s.platform.downUntil = seconds(0, 5)
 	case "copy":
@@ -391,8 +374,8 @@
 			published := s.platform.items[x.record.Name]
 			got := lifecycle[x.record.Name]
 			inUse := got == "starting" || got == "serving"
-			assert.Equal(s.t, inUse, published != nil && !published.Record.Draining, "instance %d: %s is %q", k, x.record.Name, got)
-			if published != nil {
+			assert.Equal(s.t, inUse, published != nil && !published.Unreadable && !published.Record.Draining, "instance %d: %s is %q", k, x.record.Name, got)
+			if published != nil && !published.Unreadable {
 				assert.Assert(s.t, got != "gone", "instance %d: %s", k, x.record.Name)
 			}
 		}
@@ -401,8 +384,8 @@
 
 // Guards against an instance that goes on believing what the platform contradicts (review/6,
 // review/7, review/9), or waits for a read that nobody does: after any sequence of outages,
-// restores, lost history, lost answers and partitions, of targets that leave, crash and
-// start again under their names, and of instances that restart and change their sources,
+// restores, lost history, lost answers and partitions, of targets that leave, crash, start
+// again under their names and whose entries another writer makes unreadable, and of instances that restart and change their sources,
 // and some calm, every instance uses what the platform has.
 func TestFleetConverges(t *testing.T) {
 	rapid.Check(t, converge)
--- a/internal/forwarder/forward.go
+++ b/internal/forwarder/forward.go
@@ -68,31 +68,9 @@
 func (f *Forwarder) apply(u *follow.Update) {
 	now := f.clock.now()
 	f.formerAge, f.updatedAt = now.Sub(f.updatedAt), now.Add(-u.Age)
-	if u.AfterOutage {
-		f.core.PlatformRecovered(now)
-	}
-	if u.Config != nil && f.core.ApplyConfig(u.Config) {
+	if u.ApplyTo(now, f.core) {
 		f.limitsColdTargets.Store(u.Config.LimitsColdTargets())
 	}
-	if u.Evacuations != nil {
-		f.core.SetEvacuations(now, u.Evacuations.List)
-	}
-	var present []*passthrough.TargetRecord // records of a full read
-	for _, t := range u.Targets {
-		switch {
-		case t.Unreadable:
-			f.core.RemoveUnreadable(now, t.Name)
-		case t.Removed:
-			f.core.RemoveTarget(now, t.Name)
-		case u.Complete:
-			present = append(present, &t.Record)
-		default:
-			f.core.PutTarget(now, &t.Record)
-		}
-	}
-	if u.Complete {
-		f.core.ReplaceTargets(now, present)
-	}
 	if !u.CurrentAt.IsZero() {
 		f.core.ConfirmCurrent(f.clock.at(u.CurrentAt))
 	}
