A state without evacuations is read again, whoever sends it

The path of an instance had become the only sign of a former release, so a follower of a current instance that has started from the state of a former one would have taken the missing evacuations for none. The sign of before, no list, counts again beside the path.

--- a/internal/fanout/client.go
+++ b/internal/fanout/client.go
@@ -101,10 +101,12 @@
 		c.close()
 		return follow.Update{}, eris.Wrapf(errDeltaBase, "instance %s: base version %d", c.instance.ID, d.Base)
 	}
+	// One that has started from the state of a former release does not know the evacuations
+	// either.
+	u.FormerRelease = u.Complete && (c.formerRelease || u.Evacuations == nil)
 	if u.Complete && u.Evacuations == nil && u.Config != nil {
 		u.Config.Partial = true // the releases that know no evacuations lack fields of it too
 	}
-	u.FormerRelease = u.Complete && c.formerRelease
 	u.Age += time.Since(firstBegin)
 	sentAt := c.senderClock.localTime(time.Duration(u.SentAt)*time.Millisecond, firstBegin)
 	if u.Lag != 0 {
--- a/internal/fanout/restore_test.go
+++ b/internal/fanout/restore_test.go
@@ -170,9 +170,15 @@
 		assert.Assert(t, u.FormerRelease && u.Config.Partial, "it does not say which data centres are evacuated")
 		c.close()
 	}
-	s.Apply(&follow.Update{Complete: true, Era: 1, Revision: 8, Config: &passthrough.Config{Version: 3}, Evacuations: &follow.Evacuations{}})
+	path = updatesPath
 	u, err := c.read(context.Background(), follow.Position{})
 	assert.NilError(t, err)
+	assert.Assert(t, u.FormerRelease && u.Config.Partial, "it has started from the state of a former release")
+	c.close()
+	path = formerUpdatesPaths[0]
+	s.Apply(&follow.Update{Complete: true, Era: 1, Revision: 8, Config: &passthrough.Config{Version: 3}, Evacuations: &follow.Evacuations{}})
+	u, err = c.read(context.Background(), follow.Position{})
+	assert.NilError(t, err)
 	assert.Assert(t, u.FormerRelease, "it says nothing of what is published about held targets")
 	c.close()
 	path = updatesPath
--- a/internal/passthrough/isolation_test.go
+++ b/internal/passthrough/isolation_test.go
@@ -102,10 +102,9 @@
 // Guards against an instance that starts during the cut and takes all callers of its data
 // centre, since no other one is in rotation.
 func TestStartsIsolated(t *testing.T) {
-	var c *Core
 	remote := testRecord(9, "counter", "b")
 	for _, reached := range []CheckResult{CheckAnswered, CheckAccepted} {
-		c = testCore()
+		c := testCore()
 		evacuate(c, startTime, "a")
 		c.ReplaceTargets(startTime, []*TargetRecord{&remote, new(testRecord(1, "counter", "a"))})
 		c.Tick(startTime)
@@ -114,7 +113,7 @@
 		assert.Assert(t, !c.Isolated(), reached.String())
 	}
 
-	c = testCore()
+	c := testCore()
 	c.routes.health = nil
 	c.ReplaceTargets(startTime, []*TargetRecord{&remote})
 	c.Tick(startTime)
