Review case 11: feeds reset after a drill that is noticed late

A target that was known as gone before a drill stays gone for 3 s from the moment at which an instance notices the restore, which is later than contact-ms after it when a watch hangs: feeds open at the live target are reset. The stand-ins are in review/stand3, with a store of their own that knows leases, eras and connections that go silent.

--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -54,9 +54,10 @@
 
 // Fleet is a small deployment on loopback.
 type Fleet struct {
-	Store *platformtest.Store
+	Store *Store
 	Nodes []*Node
 
+	bounds  *Bounds
 	dir     string
 	network int
 	record  *os.File
@@ -67,7 +68,7 @@
 }
 
 // New returns a fleet whose record is written to path.
-func New(path string) (*Fleet, error) {
+func New(path string, b *Bounds) (*Fleet, error) {
 	record, err := os.Create(path)
 	if err != nil {
 		return nil, err
@@ -76,7 +77,8 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Store: platformtest.NewStore(), dir: dir, network: 100 + os.Getpid()%100, record: record, start: time.Now(), stop: make(chan struct{})}
+	f := &Fleet{bounds: b, dir: dir, network: 100 + os.Getpid()%100, record: record, start: time.Now(), stop: make(chan struct{})}
+	f.Store = NewStore(b.Heartbeat, f.Log)
 	return f, nil
 }
 
@@ -96,7 +98,8 @@
 }
 
 // AddNode writes the settings of a machine, as the template of the deploy file has them.
-func (f *Fleet) AddNode(zone string, zones []string, seeds int, b *Bounds) error {
+func (f *Fleet) AddNode(zone string, zones []string, seeds int) error {
+	b := f.bounds
 	n := len(f.Nodes) + 1
 	node := &Node{ID: fmt.Sprintf("edge-%s-%d", zone, n), Zone: zone, addr: f.Addr(1, n)}
 	f.Nodes = append(f.Nodes, node)
@@ -114,12 +117,12 @@
 	}
 	text := render(string(template), map[string]string{
 		"node": quote(node.ID), "zone": quote(zone), "ip": node.addr.String(),
-		"listen.datagram-addr": quote(netip.AddrPortFrom(node.addr, datagramPort)),
-		"listen.ready":         quote(netip.AddrPortFrom(node.addr, readyPort)),
-		"listen.control":       quote(netip.AddrPortFrom(node.addr, controlPort)),
-		"platform.address":     quote(f.Store.Address()),
-		"seeds":                strings.Join(list, ","),
-		"zones":                regions.String(),
+		"listen.datagram-addr":   quote(netip.AddrPortFrom(node.addr, datagramPort)),
+		"listen.ready":           quote(netip.AddrPortFrom(node.addr, readyPort)),
+		"listen.control":         quote(netip.AddrPortFrom(node.addr, controlPort)),
+		"platform.address":       quote(f.Store.Address()),
+		"seeds":                  strings.Join(list, ","),
+		"zones":                  regions.String(),
 		"bounds.config-apply-ms": millis(b.Apply), "bounds.evacuate-ms": millis(b.Evacuate),
 		"bounds.grace-s": "6", "bounds.flow-ttl-s": "60", "bounds.cold-excess": "1.5", "bounds.cold-slack": "5",
 		"heartbeat-ms": millis(b.Heartbeat), "limits.memory-mb": "255",
@@ -296,14 +299,68 @@
 	})
 }
 
-// Target starts a backend server and publishes it.
-func (f *Fleet) Target(number uint32, service, zone string) (*platformtest.Target, error) {
-	t, err := platformtest.NewTarget(number, service, zone, datagramPort)
-	if err == nil {
-		f.Store.PutTarget(t, "ready")
-		f.Log("target %s of %s in zone %s at %s is ready", t.ID, service, zone, t.Address())
+// Target is a backend server that writes its entry with each heartbeat.
+type Target struct {
+	*platformtest.Target
+	fleet *Fleet
+	born  int64
+	ended chan struct{}
+
+	mu    sync.Mutex
+	state string
+	seq   int
+	cut   bool // from the store
+}
+
+// Target starts a backend server.
+func (f *Fleet) Target(number uint32, service, zone string) (*Target, error) {
+	fake, err := platformtest.NewTarget(number, service, zone, datagramPort)
+	if err != nil {
+		return nil, err
 	}
-	return t, err
+	t := &Target{Target: fake, fleet: f, born: time.Now().UnixMilli(), state: "ready", ended: make(chan struct{})}
+	f.Log("target %s of %s in zone %s at %s starts", t.ID, service, zone, t.Address())
+	t.beat()
+	go func() {
+		for {
+			select {
+			case <-t.ended:
+				return
+			case <-time.After(f.bounds.Heartbeat):
+				t.beat()
+			}
+		}
+	}()
+	return t, nil
+}
+
+func (t *Target) beat() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.seq++ // also when the write is lost
+	if t.cut {
+		return
+	}
+	t.fleet.Store.Beat(t.ID, map[string]any{"service": t.Service, "address": t.Address(), "zone": t.DataCentre, "version": "v1",
+		"slots": 2, "state": t.state, "cold-remaining-ms": 0, "seq": t.seq, "born": t.born})
+}
+
+// Cut partitions the target from the store, or ends the partition. Its callers and all
+// machines of the system still reach it.
+func (t *Target) Cut(cut bool) {
+	t.mu.Lock()
+	t.cut = cut
+	t.mu.Unlock()
+	t.fleet.Log("target %s cut from the store: %t", t.ID, cut)
+	if !cut {
+		t.beat()
+	}
+}
+
+// Close stops the target.
+func (t *Target) Close() {
+	close(t.ended)
+	t.Target.Close()
 }
 
 // Close ends all processes that the fleet has started.
