Review: stand-ins take free ports and a network of their own

Two scripts that ran at once could draw the same loopback addresses, and ports were fixed. A run now reserves its network, takes free ports, and ends its processes also when it gets SIGTERM. Seeds of a machine may be stale.

--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -6,12 +6,15 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"hash/fnv"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -21,12 +24,8 @@
 	"arbutusdock.example/arbutusdock/platform/platformtest"
 )
 
-// Ports, the same on all machines.
-const (
-	datagramPort = 8172
-	readyPort    = 8167
-	controlPort  = 8166
-)
+// ports are those of a run, the same on all machines.
+type ports struct{ datagram, ready, control uint16 }
 
 // Exit codes of a script.
 const (
@@ -59,7 +58,10 @@
 
 	bounds  *Bounds
 	dir     string
-	network int
+	network int          // second byte of the addresses
+	lock    net.Listener // keeps other runs from the network
+	ports   ports
+	once    sync.Once // ends the run
 	record  *os.File
 	start   time.Time
 	mu      sync.Mutex
@@ -77,11 +79,62 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{bounds: b, dir: dir, network: 100 + os.Getpid()%100, record: record, start: time.Now(), stop: make(chan struct{})}
+	f := &Fleet{bounds: b, dir: dir, record: record, start: time.Now(), stop: make(chan struct{})}
+	if err := f.reserve(); err != nil {
+		return nil, err
+	}
 	f.Store = NewStore(b.Heartbeat, f.Log)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		f.Close()
+		os.Exit(Failed)
+	}()
 	return f, nil
 }
 
+// reserve takes a network that no other run uses, and ports that are free.
+func (f *Fleet) reserve() error {
+	for n := range 100 {
+		f.network = 100 + (os.Getpid()+n)%100
+		lock, err := net.Listen("tcp4", netip.AddrPortFrom(f.Addr(254, 1), lockPort).String())
+		if err != nil {
+			continue
+		}
+		f.lock = lock
+		for _, port := range []*uint16{&f.ports.datagram, &f.ports.ready, &f.ports.control} {
+			if *port, err = f.freePort(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	return errors.New("no loopback network is free")
+}
+
+// lockPort is the port on which a run listens to reserve its network.
+const lockPort = 9463
+
+// freePort returns a port on which nobody listens, neither for TCP nor for UDP.
+func (f *Fleet) freePort() (uint16, error) {
+	for range 20 {
+		l, err := net.Listen("tcp4", netip.AddrPortFrom(f.Addr(253, 1), 0).String())
+		if err != nil {
+			return 0, err
+		}
+		at := l.Addr().String()
+		u, err := net.ListenPacket("udp4", at)
+		_ = l.Close()
+		if err != nil {
+			continue
+		}
+		_ = u.Close()
+		return netip.MustParseAddrPort(at).Port(), nil
+	}
+	return 0, errors.New("no port is free")
+}
+
 // Addr returns a loopback address of the run.
 func (f *Fleet) Addr(host, n int) netip.Addr {
 	return netip.AddrFrom4([4]byte{127, byte(f.network), byte(host), byte(n)})
@@ -97,8 +150,9 @@
 	fmt.Fprintf(f.record, "%8.3f  %s\n", f.Now().Seconds(), fmt.Sprintf(format, args...))
 }
 
-// AddNode writes the settings of a machine, as the template of the deploy file has them.
-func (f *Fleet) AddNode(zone string, zones []string, seeds int) error {
+// AddNode writes the settings of a machine, as the template of the deploy file has them. Its
+// seeds are the first machines, as many as live says, and stale ones up to three.
+func (f *Fleet) AddNode(zone string, zones []string, live int) error {
 	b := f.bounds
 	n := len(f.Nodes) + 1
 	node := &Node{ID: fmt.Sprintf("edge-%s-%d", zone, n), Zone: zone, addr: f.Addr(1, n)}
@@ -108,8 +162,12 @@
 		return err
 	}
 	var list []string
-	for s := 1; s <= seeds; s++ {
-		list = append(list, fmt.Sprintf("%q", netip.AddrPortFrom(f.Addr(1, s), controlPort)))
+	for s := 1; s <= 3; s++ {
+		host := 1
+		if s > live {
+			host = 251 // nobody listens there
+		}
+		list = append(list, fmt.Sprintf("%q", netip.AddrPortFrom(f.Addr(host, s), f.ports.control)))
 	}
 	var regions strings.Builder
 	for _, z := range zones {
@@ -117,9 +175,9 @@
 	}
 	text := render(string(template), map[string]string{
 		"node": quote(node.ID), "zone": quote(zone), "ip": node.addr.String(),
-		"listen.datagram-addr":   quote(netip.AddrPortFrom(node.addr, datagramPort)),
-		"listen.ready":           quote(netip.AddrPortFrom(node.addr, readyPort)),
-		"listen.control":         quote(netip.AddrPortFrom(node.addr, controlPort)),
+		"listen.datagram-addr":   quote(netip.AddrPortFrom(node.addr, f.ports.datagram)),
+		"listen.ready":           quote(netip.AddrPortFrom(node.addr, f.ports.ready)),
+		"listen.control":         quote(netip.AddrPortFrom(node.addr, f.ports.control)),
 		"platform.address":       quote(f.Store.Address()),
 		"seeds":                  strings.Join(list, ","),
 		"zones":                  regions.String(),
@@ -232,7 +290,7 @@
 func (f *Fleet) probe(n *Node) {
 	client := &http.Client{Timeout: 450 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	for {
-		response, err := client.Get("http://" + netip.AddrPortFrom(n.addr, readyPort).String() + "/ready")
+		response, err := client.Get("http://" + netip.AddrPortFrom(n.addr, f.ports.ready).String() + "/ready")
 		ok := err == nil && response.StatusCode == http.StatusOK
 		if err == nil {
 			_ = response.Body.Close()
@@ -291,11 +349,11 @@
 
 // Caller starts a client machine in a zone.
 func (f *Fleet) Caller(zone string, n int) (*platformtest.Caller, error) {
-	return platformtest.NewCaller(netip.AddrPortFrom(f.Addr(2, n), datagramPort), func(src, dst netip.AddrPort) netip.AddrPort {
+	return platformtest.NewCaller(netip.AddrPortFrom(f.Addr(2, n), f.ports.datagram), func(src, dst netip.AddrPort) netip.AddrPort {
 		if node := f.Select(zone, src, dst); node != nil {
-			return netip.AddrPortFrom(node.addr, datagramPort)
+			return netip.AddrPortFrom(node.addr, f.ports.datagram)
 		}
-		return netip.AddrPortFrom(f.Addr(250, 1), datagramPort) // nobody listens there
+		return netip.AddrPortFrom(f.Addr(250, 1), f.ports.datagram) // nobody listens there
 	})
 }
 
@@ -314,7 +372,7 @@
 
 // Target starts a backend server.
 func (f *Fleet) Target(number uint32, service, zone string) (*Target, error) {
-	fake, err := platformtest.NewTarget(number, service, zone, datagramPort)
+	fake, err := platformtest.NewTarget(number, service, zone, f.ports.datagram)
 	if err != nil {
 		return nil, err
 	}
@@ -364,16 +422,24 @@
 }
 
 // Close ends all processes that the fleet has started.
-func (f *Fleet) Close() {
+func (f *Fleet) Close() { f.once.Do(f.close) }
+
+func (f *Fleet) close() {
 	close(f.stop)
 	f.probes.Wait()
 	for _, n := range f.Nodes {
+		n.mu.Lock()
 		if n.cmd != nil {
 			_ = n.cmd.Process.Kill() // it may have ended
-			n.Wait()
+		}
+		ended := n.ended
+		n.mu.Unlock()
+		if ended != nil {
+			<-ended
 		}
 	}
 	f.Store.Close()
+	_ = f.lock.Close()
 	for _, n := range f.Nodes {
 		if data, err := os.ReadFile(filepath.Join(f.dir, n.ID+".log")); err == nil && os.Getenv("REVIEW_LOGS") != "" {
 			_ = os.WriteFile(filepath.Join(os.Getenv("REVIEW_LOGS"), n.ID+".log"), bytes.TrimSpace(data), 0o600)
